--- /dev/null
+++ b/gentianhill/http2/server.cpp
@@ -0,0 +1,346 @@
+#include "gentianhill/http2/server.h"
+
+#include "gentianhill/http2/session_io.h"
+
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <fmt/format.h>
+
+#include <arpa/inet.h>
+#include <array>
+#include <cassert>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <utility>
+#include <vector>
+
+namespace gentianhill::http2 {
+
+namespace {
+
+constexpr int status_payload_too_large = 413;
+
+std::string_view view_of(const std::uint8_t* data, std::size_t length) {
+    return {reinterpret_cast<const char*>(data), length};
+}
+
+} // namespace
+
+/// One accepted connection and the requests open on it.
+class server::connection : public std::enable_shared_from_this<server::connection> {
+public:
+    connection(server& owner, connection_id id, int socket) : owner_(owner), id_(id) {
+        set_no_delay(socket);
+        transport_ = bufferevent_socket_new(owner.loop_.native(), socket,
+                                            BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+        bufferevent_setcb(transport_, &on_read, nullptr, &on_event, this);
+        bufferevent_enable(transport_, EV_READ | EV_WRITE);
+
+        nghttp2_session_callbacks* callbacks = nullptr;
+        nghttp2_session_callbacks_new(&callbacks);
+        nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, &on_begin_headers);
+        nghttp2_session_callbacks_set_on_header_callback(callbacks, &on_header);
+        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &on_data);
+        nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &on_frame);
+        nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, &on_stream_close);
+        nghttp2_session_server_new(&session_, callbacks, this);
+        nghttp2_session_callbacks_del(callbacks);
+        submit_settings(session_, owner.settings_.max_streams);
+        flush();
+    }
+
+    ~connection() {
+        nghttp2_session_del(session_);
+        bufferevent_free(transport_);
+    }
+
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    [[nodiscard]] std::size_t open_requests() const {
+        std::size_t count = 0;
+        for (const std::pair<const std::int32_t, stream>& entry : streams_) {
+            count += entry.second.delivered && !entry.second.answered ? 1U : 0U;
+        }
+        return count;
+    }
+
+    void send_shutdown_notice() {
+        nghttp2_submit_shutdown_notice(session_);
+        flush();
+    }
+
+    void send_goaway() {
+        const std::int32_t last = nghttp2_session_get_last_proc_stream_id(session_);
+        nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+        flush();
+    }
+
+    /// Marks the connection as gone; responders that are still held do nothing from now on.
+    void detach() {
+        closed_ = true;
+        bufferevent_setcb(transport_, nullptr, nullptr, nullptr, nullptr);
+    }
+
+private:
+    struct stream {
+        request received;
+        body_source body;
+        bool too_large = false;
+        bool delivered = false;
+        bool answered = false;
+    };
+
+    static connection& from(void* user_data) { return *static_cast<connection*>(user_data); }
+
+    static void on_read(bufferevent* /*transport*/, void* user_data) { from(user_data).receive(); }
+
+    static void on_event(bufferevent* /*transport*/, short events, void* user_data) {
+        if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            connection& self = from(user_data);
+            self.owner_.remove(self.id_);
+        }
+    }
+
+    static int on_begin_headers(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user_data) {
+        if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+            from(user_data).streams_.try_emplace(frame->hd.stream_id);
+        }
+        return 0;
+    }
+
+    static int on_header(nghttp2_session* /*session*/, const nghttp2_frame* frame, const std::uint8_t* name,
+                         std::size_t name_length, const std::uint8_t* value, std::size_t value_length,
+                         std::uint8_t /*flags*/, void* user_data) {
+        connection& self = from(user_data);
+        const std::map<std::int32_t, stream>::iterator found = self.streams_.find(frame->hd.stream_id);
+        if (found == self.streams_.end()) {
+            return 0;
+        }
+        const std::string_view field = view_of(name, name_length);
+        if (field == ":method") {
+            found->second.received.method = std::string{view_of(value, value_length)};
+        } else if (field == ":path") {
+            found->second.received.path = std::string{view_of(value, value_length)};
+        }
+        return 0;
+    }
+
+    static int on_data(nghttp2_session* /*session*/, std::uint8_t /*flags*/, std::int32_t stream_id,
+                       const std::uint8_t* data, std::size_t length, void* user_data) {
+        connection& self = from(user_data);
+        const std::map<std::int32_t, stream>::iterator found = self.streams_.find(stream_id);
+        if (found == self.streams_.end()) {
+            return 0;
+        }
+        std::string& body = found->second.received.body;
+        if (body.size() + length > self.owner_.settings_.max_body_bytes) {
+            found->second.too_large = true;
+        } else {
+            body.append(view_of(data, length));
+        }
+        return 0;
+    }
+
+    static int on_frame(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user_data) {
+        const bool carries_request = frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
+        if (carries_request && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+            from(user_data).complete_.push_back(frame->hd.stream_id);
+        }
+        return 0;
+    }
+
+    static int on_stream_close(nghttp2_session* /*session*/, std::int32_t stream_id,
+                               std::uint32_t /*error_code*/, void* user_data) {
+        from(user_data).streams_.erase(stream_id);
+        return 0;
+    }
+
+    void receive() {
+        const std::shared_ptr<connection> keep = shared_from_this();
+        const std::int64_t count = receive_into(session_, transport_);
+        if (count < 0) {
+            owner_.remove(id_);
+            return;
+        }
+        owner_.bytes_received_ += static_cast<std::uint64_t>(count);
+        // Requests are handled after nghttp2 has returned: handlers may close this connection.
+        const std::vector<std::int32_t> complete = std::exchange(complete_, {});
+        for (const std::int32_t stream_id : complete) {
+            if (closed_) {
+                return;
+            }
+            deliver(stream_id);
+        }
+        flush();
+    }
+
+    void deliver(std::int32_t stream_id) {
+        const std::map<std::int32_t, stream>::iterator found = streams_.find(stream_id);
+        if (found == streams_.end()) {
+            return;
+        }
+        found->second.delivered = true;
+        if (found->second.too_large) {
+            answer(stream_id, response{status_payload_too_large, {}});
+            return;
+        }
+        const std::weak_ptr<connection> self = weak_from_this();
+        const responder respond = [self, stream_id](response reply) {
+            const std::shared_ptr<connection> target = self.lock();
+            if (target != nullptr && !target->closed_) {
+                target->answer(stream_id, std::move(reply));
+            }
+        };
+        const request received = std::move(found->second.received);
+        owner_.on_request(id_, received, respond);
+    }
+
+    void answer(std::int32_t stream_id, response reply) {
+        const std::map<std::int32_t, stream>::iterator found = streams_.find(stream_id);
+        if (found == streams_.end() || found->second.answered) {
+            return;
+        }
+        found->second.answered = true;
+        found->second.body.bytes = std::move(reply.body);
+        const std::string status = fmt::format("{}", reply.status);
+        const std::array<nghttp2_nv, 2> headers{header_field(":status", status),
+                                                header_field("content-type", "application/json")};
+        const nghttp2_data_provider provider = found->second.body.provider();
+        nghttp2_submit_response(session_, stream_id, headers.data(), headers.size(), &provider);
+        flush();
+    }
+
+    void flush() {
+        if (closed_ || flushing_) {
+            return;
+        }
+        flushing_ = true;
+        const std::int64_t count = send_from(session_, transport_);
+        flushing_ = false;
+        const bool finished =
+            nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0;
+        if (count > 0) {
+            owner_.bytes_sent_ += static_cast<std::uint64_t>(count);
+        }
+        if (count < 0 || finished) {
+            schedule_removal();
+        }
+    }
+
+    void schedule_removal() {
+        const std::weak_ptr<connection> self = weak_from_this();
+        // Deferred, so that frames already written still leave and callers of flush() stay valid.
+        owner_.loop_.run_after(std::chrono::milliseconds{1}, [self] {
+            const std::shared_ptr<connection> target = self.lock();
+            if (target != nullptr && !target->closed_) {
+                target->owner_.remove(target->id_);
+            }
+        });
+    }
+
+    server& owner_;
+    connection_id id_;
+    bufferevent* transport_ = nullptr;
+    nghttp2_session* session_ = nullptr;
+    std::map<std::int32_t, stream> streams_;
+    std::vector<std::int32_t> complete_;
+    bool closed_ = false;
+    bool flushing_ = false;
+};
+
+server::server(event_loop& loop, const server_settings& settings) : loop_(loop), settings_(settings) {}
+
+server::~server() {
+    on_close = nullptr;
+    for (const std::pair<const connection_id, std::shared_ptr<connection>>& entry : connections_) {
+        entry.second->detach();
+    }
+    connections_.clear();
+    if (listener_ != nullptr) {
+        evconnlistener_free(listener_);
+    }
+}
+
+bool server::listen(error& reason) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(settings_.listen.port);
+    inet_pton(AF_INET, settings_.listen.address.c_str(), &address.sin_addr);
+    const evconnlistener_cb on_accept = [](evconnlistener* /*listener*/, evutil_socket_t socket,
+                                           sockaddr* /*peer*/, int /*length*/, void* user_data) {
+        static_cast<server*>(user_data)->accept(socket);
+    };
+    listener_ = evconnlistener_new_bind(loop_.native(), on_accept, this,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, -1,
+                                        reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    if (listener_ == nullptr) {
+        reason = error{error_code::bind_failed, "listen", settings_.listen.to_string(),
+                       "an address of this host with a free port"};
+        return false;
+    }
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
+    getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&bound), &length);
+    port_ = ntohs(bound.sin_port);
+    return true;
+}
+
+void server::accept(int socket) {
+    const connection_id id = next_id_++;
+    connections_.emplace(id, std::make_shared<connection>(*this, id, socket));
+    if (on_open) {
+        on_open(id);
+    }
+}
+
+void server::remove(connection_id id) {
+    const std::map<connection_id, std::shared_ptr<connection>>::iterator found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    const std::shared_ptr<connection> removed = found->second;
+    connections_.erase(found);
+    removed->detach();
+    if (on_close) {
+        on_close(id);
+    }
+    // Freed from the loop: the connection may be on the call stack.
+    loop_.run_after(duration{0}, [removed] {});
+}
+
+void server::close(connection_id id) {
+    remove(id);
+}
+
+void server::shut_down() {
+    if (shutting_down_) {
+        return;
+    }
+    shutting_down_ = true;
+    if (listener_ != nullptr) {
+        evconnlistener_free(listener_);
+        listener_ = nullptr;
+    }
+    for (const std::pair<const connection_id, std::shared_ptr<connection>>& entry : connections_) {
+        entry.second->send_shutdown_notice();
+    }
+    // Requests sent before the notice arrived are still accepted until the final GOAWAY.
+    goaway_timer_ = loop_.call_after(settings_.goaway_delay, [this] {
+        const std::map<connection_id, std::shared_ptr<connection>> remaining = connections_;
+        for (const std::pair<const connection_id, std::shared_ptr<connection>>& entry : remaining) {
+            entry.second->send_goaway();
+        }
+    });
+}
+
+std::size_t server::open_requests() const {
+    std::size_t count = 0;
+    for (const std::pair<const connection_id, std::shared_ptr<connection>>& entry : connections_) {
+        count += entry.second->open_requests();
+    }
+    return count;
+}
+
+} // namespace gentianhill::http2
--- /dev/null
+++ b/gentianhill/http2/server.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "gentianhill/core/endpoint.h"
+#include "gentianhill/core/error.h"
+#include "gentianhill/core/event_loop.h"
+#include "gentianhill/http2/message.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+struct evconnlistener;
+
+namespace gentianhill::http2 {
+
+/// Identifies one accepted connection for the lifetime of the server.
+using connection_id = std::uint64_t;
+
+/// Limits of a server.
+struct server_settings {
+    /// Address to listen on; port 0 lets the system choose one.
+    endpoint listen;
+    /// Largest request body, in bytes; a larger one is answered with status 413.
+    std::size_t max_body_bytes = 1U << 20U;
+    /// Requests that one connection may have open at once.
+    std::uint32_t max_streams = 1024;
+    /// Time between the shutdown notice and the final GOAWAY.
+    duration goaway_delay = std::chrono::milliseconds{100};
+};
+
+/// HTTP/2 server without TLS (prior knowledge) over nghttp2 and libevent.
+class server {
+public:
+    /// Answers one request; to be called once. A call after the connection has gone does nothing.
+    using responder = std::function<void(response)>;
+    using request_handler = std::function<void(connection_id, const request&, responder)>;
+    using connection_handler = std::function<void(connection_id)>;
+
+    /// The loop must outlive the server.
+    server(event_loop& loop, const server_settings& settings);
+    ~server();
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+    /// Called for each complete request.
+    request_handler on_request;
+    /// Called when a connection was accepted; may be empty.
+    connection_handler on_open;
+    /// Called when a connection has gone, for whatever reason; may be empty.
+    connection_handler on_close;
+
+    /// Starts to listen. Errors: bind_failed.
+    [[nodiscard]] bool listen(error& reason);
+    /// Port that the server listens on.
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+    /// Stops accepting, sends GOAWAY on all connections and lets open requests finish.
+    void shut_down();
+    /// Closes one connection at once.
+    void close(connection_id id);
+    /// Connections open now.
+    [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
+    /// Requests received and not answered yet.
+    [[nodiscard]] std::size_t open_requests() const;
+    /// Bytes received and sent since the start.
+    [[nodiscard]] std::uint64_t bytes_received() const { return bytes_received_; }
+    [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
+
+private:
+    class connection;
+    friend class connection;
+
+    void accept(int socket);
+    void remove(connection_id id);
+
+    event_loop& loop_;
+    server_settings settings_;
+    evconnlistener* listener_ = nullptr;
+    std::uint16_t port_ = 0;
+    connection_id next_id_ = 1;
+    bool shutting_down_ = false;
+    std::map<connection_id, std::shared_ptr<connection>> connections_;
+    timer goaway_timer_;
+    std::uint64_t bytes_received_ = 0;
+    std::uint64_t bytes_sent_ = 0;
+};
+
+} // namespace gentianhill::http2
--- /dev/null
+++ b/tests/http2/client_server_tests.cpp
@@ -0,0 +1,155 @@
+#include "gentianhill/http2/client.h"
+#include "gentianhill/http2/server.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace gentianhill;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct loopback_fixture {
+    event_loop loop;
+    std::unique_ptr<http2::server> server;
+    std::unique_ptr<http2::client> client;
+    std::vector<http2::server::responder> held;
+
+    loopback_fixture() {
+        http2::server_settings settings;
+        settings.listen = endpoint{"127.0.0.1", 0};
+        settings.max_body_bytes = 1024;
+        server = std::make_unique<http2::server>(loop, settings);
+        server->on_request = [this](http2::connection_id id, const http2::request& request,
+                                    const http2::server::responder& respond) {
+            if (request.path == "/hold") {
+                held.push_back(respond);
+            } else if (request.path == "/close") {
+                server->close(id);
+            } else {
+                respond(http2::response{200, request.method + request.path + request.body});
+            }
+        };
+        error reason;
+        REQUIRE(server->listen(reason));
+        connect();
+    }
+
+    void connect() {
+        http2::client_settings settings;
+        settings.server = endpoint{"127.0.0.1", server->port()};
+        client = std::make_unique<http2::client>(loop, settings);
+    }
+
+    struct outcome {
+        bool done = false;
+        std::optional<http2::response> reply;
+        error reason;
+    };
+
+    std::shared_ptr<outcome> send(const std::string& path, const std::string& body = {},
+                                  duration timeout = 2s) {
+        std::shared_ptr<outcome> result = std::make_shared<outcome>();
+        client->send(http2::request{"POST", path, body}, timeout,
+                     [result](std::optional<http2::response> reply, const error& reason) {
+                         result->done = true;
+                         result->reply = std::move(reply);
+                         result->reason = reason;
+                     });
+        return result;
+    }
+
+    bool wait(const std::shared_ptr<outcome>& result) {
+        return loop.run_until([&result] { return result->done; }, 5s);
+    }
+};
+
+} // namespace
+
+// Guards against answers that reach the wrong request when many share a connection.
+TEST_CASE_FIXTURE(loopback_fixture, "client_many_requests_each_gets_its_own_answer") {
+    std::vector<std::shared_ptr<outcome>> results;
+    results.reserve(200);
+    for (int i = 0; i < 200; ++i) {
+        results.push_back(send("/echo", std::to_string(i)));
+    }
+    for (int i = 0; i < 200; ++i) {
+        REQUIRE(wait(results[i]));
+        REQUIRE(results[i]->reply);
+        CHECK(results[i]->reply->body == "POST/echo" + std::to_string(i));
+    }
+}
+
+// Guards against a caller that waits for ever on a server that does not answer.
+TEST_CASE_FIXTURE(loopback_fixture, "client_no_answer_times_out_and_connection_stays_usable") {
+    const std::shared_ptr<outcome> result = send("/hold", "x", 50ms);
+    REQUIRE(wait(result));
+    CHECK(result->reason.code == error_code::timed_out);
+    const std::shared_ptr<outcome> next = send("/echo");
+    REQUIRE(wait(next));
+    CHECK(next->reply);
+    // A late answer must not reach anyone.
+    held.front()(http2::response{200, "late"});
+    const std::shared_ptr<outcome> last = send("/echo", "last");
+    REQUIRE(wait(last));
+    CHECK(last->reply->body == "POST/echolast");
+}
+
+// Guards against "not processed" being reported for a request that the server has received.
+TEST_CASE_FIXTURE(loopback_fixture, "client_connection_closed_after_sending_reports_connection_lost") {
+    const std::shared_ptr<outcome> result = send("/close");
+    REQUIRE(wait(result));
+    CHECK(result->reason.code == error_code::connection_lost);
+    CHECK(client->is_closed());
+    const std::shared_ptr<outcome> next = send("/echo");
+    CHECK_FALSE(next->done);
+    REQUIRE(wait(next));
+    CHECK(certainly_not_processed(next->reason.code));
+}
+
+// Guards against a refused connection being treated as a request of unknown outcome.
+TEST_CASE_FIXTURE(loopback_fixture, "client_server_absent_reports_connect_failed") {
+    server.reset();
+    const std::shared_ptr<outcome> result = send("/echo");
+    REQUIRE(wait(result));
+    CHECK(result->reason.code == error_code::connect_failed);
+}
+
+// Guards against a planned stop that cuts off requests in flight.
+TEST_CASE_FIXTURE(loopback_fixture, "server_shut_down_answers_open_requests_and_refuses_new_ones") {
+    const std::shared_ptr<outcome> result = send("/hold", "x");
+    REQUIRE(loop.run_until([this] { return !held.empty(); }, 2s));
+    server->shut_down();
+    REQUIRE(loop.run_until([this] { return client->is_closed(); }, 2s));
+    held.front()(http2::response{200, "finished"});
+    REQUIRE(wait(result));
+    REQUIRE(result->reply);
+    CHECK(result->reply->body == "finished");
+    const std::shared_ptr<outcome> next = send("/echo");
+    REQUIRE(wait(next));
+    CHECK(certainly_not_processed(next->reason.code));
+    CHECK(loop.run_until([this] { return server->connection_count() == 0; }, 2s));
+}
+
+// Guards against unbounded memory use by a large body.
+TEST_CASE_FIXTURE(loopback_fixture, "server_body_over_limit_answers_413") {
+    const std::shared_ptr<outcome> result = send("/echo", std::string(2000, 'x'));
+    REQUIRE(wait(result));
+    REQUIRE(result->reply);
+    CHECK(result->reply->status == 413);
+}
+
+// Guards against a responder that outlives its connection.
+TEST_CASE_FIXTURE(loopback_fixture, "server_answer_after_connection_gone_does_nothing") {
+    std::shared_ptr<outcome> result = send("/hold", "x");
+    REQUIRE(loop.run_until([this] { return !held.empty(); }, 2s));
+    client->close();
+    REQUIRE(wait(result));
+    REQUIRE(loop.run_until([this] { return server->connection_count() == 0; }, 2s));
+    held.front()(http2::response{200, "nobody"});
+    CHECK(held.size() == 1);
+}
