--- a/gentianhill/core/error.cpp
+++ b/gentianhill/core/error.cpp
@@ -25,6 +25,7 @@
     name_entry{error_code::unknown_team, "unknown_team"},
     name_entry{error_code::unknown_instance, "unknown_instance"},
     name_entry{error_code::unknown_path, "unknown_path"},
+    name_entry{error_code::unknown_daemon, "unknown_daemon"},
     name_entry{error_code::connect_failed, "connect_failed"},
     name_entry{error_code::request_refused, "request_refused"},
     name_entry{error_code::connection_lost, "connection_lost"},
--- a/gentianhill/core/error.h
+++ b/gentianhill/core/error.h
@@ -22,6 +22,7 @@
     unknown_team,
     unknown_instance,
     unknown_path,
+    unknown_daemon,
     // Transport: the request was certainly not processed
     connect_failed,
     request_refused,
