Add the client of the object API, the prefix watch and the host directory

Cause: durable state is kept only in the platform's service, which loses answers, answers from old copies and has outages; its list of hosts lags.

Ruled out: merging "leaving" from list and refusals by newest time; an instance may answer "not leaving" before it has learned of the notice, so either source suffices and a refusal ends by itself.

Change: object_store with typed results, conditional_update and create_once (lost answers are read back and compared), prefix_watch (versions per key only rise), host_directory, and a reconnecting HTTP/2 client that also replaces a connection on which requests time out without a byte received.

--- a/gentianhill/http2/reconnecting_client.h
+++ b/gentianhill/http2/reconnecting_client.h
@@ -15,7 +15,7 @@
     client_settings connection;
     /// Delays between failed connections.
     backoff_settings reconnect;
-    /// Requests that may be open at once; further ones fail with queue_full.
+    /// Requests that may be open at once; further ones fail with request_refused.
     std::size_t max_open_requests = 64;
     /// Requests in a row that time out, without a byte received in between, before the connection is
     /// replaced. A connection through a partition stays established for minutes, so that silence is the only
@@ -70,7 +70,7 @@
     void release_retired();
     void connection_failed();
     void finished(std::uint64_t bytes_before, const std::weak_ptr<client>& used, const error& reason);
-    void fail_later(error_code code, result_handler on_result);
+    void fail_later(const error& reason, result_handler on_result);
 
     event_loop& loop_;
     reconnecting_client_settings settings_;
--- a/gentianhill/membership/host_directory.h
+++ b/gentianhill/membership/host_directory.h
@@ -84,8 +84,9 @@
     void note_daemon_refused(const std::string& daemon, time_point now);
     /// Records that an instance on this backend server answered `leaving`.
     void note_server_refused(const std::string& server, time_point now);
-    /// Records that an instance on this backend server accepted work or reported that it is not leaving.
-    void note_server_accepted(const std::string& server, time_point now);
+    /// Records that an instance on this backend server reported that it is not leaving; ends an earlier
+    /// refusal, but not a notice in the platform's list.
+    void note_server_accepted(const std::string& server);
     /// Sets the daemons that are expected to send heartbeats; the silence of others means nothing.
     void expect_heartbeats(const std::set<std::string>& daemons, time_point now);
 
@@ -114,15 +115,19 @@
         std::optional<time_point> refused_at;
         std::string zone;
         std::uint64_t incarnation = 0;
+        /// Incarnation known when the list began to show the host as leaving; a later one has replaced it.
+        std::uint64_t leaving_incarnation = 0;
         bool draining = false;
     };
     struct server_record {
         std::optional<listed_host> listed;
         std::optional<time_point> refused_at;
-        std::optional<time_point> accepted_at;
     };
 
     [[nodiscard]] bool is_recent(const std::optional<time_point>& moment, time_point now) const;
+    [[nodiscard]] bool is_known(const daemon_record& record, time_point now) const;
+    [[nodiscard]] bool is_silent(const daemon_record& record, time_point now) const;
+    void apply_daemon(const listed_host& host);
     [[nodiscard]] bool is_leaving(const server_record& record, time_point now) const;
     [[nodiscard]] daemon_state state_of(const daemon_record& record, time_point now) const;
     [[nodiscard]] daemon_view view_of(const std::string& name, const daemon_record& record,
--- a/gentianhill/platform/object_store.h
+++ b/gentianhill/platform/object_store.h
@@ -21,7 +21,8 @@
     duration call_timeout = std::chrono::seconds{1};
     /// Calls in progress at once; further ones wait.
     std::size_t max_concurrent_calls = 8;
-    /// Calls that wait; further ones fail with queue_full as platform_unavailable.
+    /// Calls that wait; further ones, and calls that waited longer than call_timeout, end as
+    /// platform_unavailable.
     std::size_t max_waiting_calls = 256;
     /// Delays between failed connections and between attempts of one update.
     http2::backoff_settings retry;
@@ -82,18 +83,18 @@
     [[nodiscard]] std::size_t open_calls() const { return running_calls_ + waiting_calls_.size(); }
 
 private:
-    class update_task;
-    class create_task;
     using reply_handler = std::function<void(std::optional<http2::response>, const error&)>;
     struct waiting_call {
         http2::request message;
         reply_handler on_reply;
+        time_point queued_at;
     };
 
     void call(http2::request message, reply_handler on_reply);
     void start(http2::request message, reply_handler on_reply);
     void start_waiting();
-    void call_after(duration delay, std::function<void()> action);
+    void refuse_later(const error& reason, reply_handler on_reply);
+    [[nodiscard]] std::function<void(duration, std::function<void()>)> delay_hook();
 
     event_loop& loop_;
     object_store_settings settings_;
--- /dev/null
+++ b/gentianhill/platform/prefix_watch.cpp
@@ -0,0 +1,197 @@
+#include "gentianhill/platform/prefix_watch.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace gentianhill {
+
+prefix_watch::prefix_watch(event_loop& loop, object_store& store, const prefix_watch_settings& settings,
+                           std::function<double()> random)
+    : loop_(loop), store_(store), settings_(settings), backoff_(settings.retry, std::move(random)) {}
+
+prefix_watch::~prefix_watch() {
+    alive_.reset();
+}
+
+void prefix_watch::start() {
+    if (running_) {
+        return;
+    }
+    running_ = true;
+    ++generation_;
+    list();
+}
+
+void prefix_watch::stop() {
+    running_ = false;
+    // Answers of the earlier generation are ignored.
+    ++generation_;
+    retry_timer_.cancel();
+}
+
+void prefix_watch::list() {
+    const std::weak_ptr<bool> alive = alive_;
+    const std::uint64_t generation = generation_;
+    store_.list(settings_.prefix, [this, alive, generation](const list_result& result) {
+        if (!alive.expired() && generation == generation_) {
+            listed(result);
+        }
+    });
+}
+
+void prefix_watch::poll() {
+    poll_started_ = event_loop::now();
+    const std::weak_ptr<bool> alive = alive_;
+    const std::uint64_t generation = generation_;
+    store_.watch(settings_.prefix, revision_, settings_.poll_wait,
+                 [this, alive, generation](const watch_result& result) {
+                     if (!alive.expired() && generation == generation_) {
+                         polled(result);
+                     }
+                 });
+}
+
+void prefix_watch::listed(const list_result& result) {
+    if (result.outcome != store_outcome::found) {
+        try_later(&prefix_watch::list);
+        return;
+    }
+    ++list_count_;
+    const std::weak_ptr<bool> alive = alive_;
+    const std::uint64_t generation = generation_;
+    // A list from an old copy says nothing about objects that are missing in it.
+    const bool is_old = result.revision < revision_;
+    for (const stored_object& object : result.objects) {
+        report(object);
+        if (alive.expired() || generation != generation_) {
+            return;
+        }
+    }
+    if (!is_old && !report_missing(result)) {
+        return;
+    }
+    revision_ = is_old ? revision_ : result.revision;
+    confirmed_at_ = is_old ? confirmed_at_ : event_loop::now();
+    if (on_listed) {
+        on_listed();
+        if (alive.expired() || generation != generation_) {
+            return;
+        }
+    }
+    poll();
+}
+
+bool prefix_watch::report_missing(const list_result& result) {
+    std::set<std::string> listed_keys;
+    for (const stored_object& object : result.objects) {
+        listed_keys.insert(object.key);
+    }
+    std::vector<stored_object> missing;
+    for (const std::pair<const std::string, known_version>& entry : known_) {
+        // An object that is newer than the list was created after it.
+        const bool is_covered = entry.second.version <= result.revision;
+        if (!entry.second.removed && is_covered && listed_keys.count(entry.first) == 0) {
+            missing.push_back(stored_object{entry.first, result.revision, nullptr});
+        }
+    }
+    const std::weak_ptr<bool> alive = alive_;
+    const std::uint64_t generation = generation_;
+    for (const stored_object& object : missing) {
+        report(object);
+        if (alive.expired() || generation != generation_) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void prefix_watch::polled(const watch_result& result) {
+    if (result.outcome != store_outcome::found) {
+        try_later(&prefix_watch::list);
+        return;
+    }
+    if (result.gap) {
+        // The store may have been reset to an older state, so that its revisions start lower.
+        revision_ = 0;
+        // The first gap is closed at once; a store that reports one after the other is asked less often.
+        const bool is_first = backoff_.is_reset();
+        const duration delay = backoff_.next();
+        schedule(is_first ? duration{0} : delay, &prefix_watch::list);
+        return;
+    }
+    const std::weak_ptr<bool> alive = alive_;
+    const std::uint64_t generation = generation_;
+    for (const stored_object& object : result.changes) {
+        report(object);
+        if (alive.expired() || generation != generation_) {
+            return;
+        }
+    }
+    const time_point now = event_loop::now();
+    const bool advanced = result.revision > revision_;
+    confirmed_at_ = result.revision >= revision_ ? now : confirmed_at_;
+    revision_ = std::max(revision_, result.revision);
+    // An answer without news that did not wait, or that repeats itself, would be asked for without end.
+    constexpr int early_share = 4;
+    const bool is_early = result.changes.empty() && now - poll_started_ < settings_.poll_wait / early_share;
+    if (is_early || (!advanced && !result.changes.empty())) {
+        try_later(&prefix_watch::poll);
+        return;
+    }
+    backoff_.reset();
+    poll();
+}
+
+void prefix_watch::report(const stored_object& object) {
+    known_version& known = known_[object.key];
+    const bool removed = object.value.is_null();
+    if (object.version < known.version || (object.version == known.version && known.removed)) {
+        ++stale_count_;
+        return;
+    }
+    if (object.version == known.version && known.version != 0 && !removed) {
+        return;
+    }
+    if (known.removed != removed) {
+        removed_count_ += removed ? 1 : -1;
+    }
+    known = known_version{object.version, removed};
+    forget_old_removals();
+    if (on_change) {
+        on_change(object);
+    }
+}
+
+void prefix_watch::forget_old_removals() {
+    if (removed_count_ <= settings_.max_removed_versions) {
+        return;
+    }
+    // The oldest removals are the least likely to be contradicted by an old copy.
+    std::map<std::string, known_version>::iterator oldest = known_.end();
+    for (std::map<std::string, known_version>::iterator entry = known_.begin(); entry != known_.end();
+         ++entry) {
+        const bool is_older = oldest == known_.end() || entry->second.version < oldest->second.version;
+        if (entry->second.removed && is_older) {
+            oldest = entry;
+        }
+    }
+    known_.erase(oldest);
+    --removed_count_;
+}
+
+void prefix_watch::try_later(void (prefix_watch::*step)()) {
+    schedule(backoff_.next(), step);
+}
+
+void prefix_watch::schedule(duration delay, void (prefix_watch::*step)()) {
+    const std::uint64_t generation = generation_;
+    // The timer dies with the watch.
+    retry_timer_ = loop_.call_after(delay, [this, generation, step] {
+        if (generation == generation_) {
+            (this->*step)();
+        }
+    });
+}
+
+} // namespace gentianhill
--- a/gentianhill/platform/prefix_watch.h
+++ b/gentianhill/platform/prefix_watch.h
@@ -65,9 +65,12 @@
     void listed(const list_result& result);
     void polled(const watch_result& result);
     void report(const stored_object& object);
-    void report_missing(const list_result& result);
+    /// Reports objects that a list no longer has; false when a handler stopped or destroyed the watch.
+    [[nodiscard]] bool report_missing(const list_result& result);
     void forget_old_removals();
-    void try_later(std::function<void()> action);
+    void schedule(duration delay, void (prefix_watch::*step)());
+    /// Repeats a step after a delay that grows until a poll succeeds.
+    void try_later(void (prefix_watch::*step)());
 
     event_loop& loop_;
     object_store& store_;
@@ -78,6 +81,7 @@
     std::uint64_t revision_ = 0;
     std::uint64_t generation_ = 0;
     bool running_ = false;
+    time_point poll_started_{};
     std::optional<time_point> confirmed_at_;
     std::uint64_t list_count_ = 0;
     std::uint64_t stale_count_ = 0;
--- a/gentianhill/platform/store_result.h
+++ b/gentianhill/platform/store_result.h
@@ -59,6 +59,7 @@
     store_outcome outcome = store_outcome::platform_unavailable;
     /// Revision of the store that the list shows; a watch continues after it.
     std::uint64_t revision = 0;
+    /// Objects by version.
     std::vector<stored_object> objects;
     error reason;
 };
@@ -70,7 +71,7 @@
     std::uint64_t revision = 0;
     /// True when the store no longer has all changes since the given revision; the caller lists again.
     bool gap = false;
-    /// Changes in order; a removal has a null value.
+    /// Changes by version; a removal has a null value.
     std::vector<stored_object> changes;
     error reason;
 };
@@ -78,7 +79,7 @@
 /// Result of a read of the list of hosts.
 struct hosts_result {
     store_outcome outcome = store_outcome::platform_unavailable;
-    /// Revision of the list, for host_directory::apply_list.
+    /// Revision of the list, for host_directory::apply_list; 0 when the service tells none.
     std::uint64_t revision = 0;
     std::vector<listed_host> hosts;
     error reason;
--- /dev/null
+++ b/gentianhill/platform/store_wire.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "gentianhill/core/time.h"
+#include "gentianhill/http2/message.h"
+#include "gentianhill/platform/store_result.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gentianhill::store_wire {
+
+/// Requests of the platform's object API; `if_version` 0 means that the object must not exist.
+///   GET    /v1/objects/<key>                 200 {"key", "version", "value"} | 404
+///   PUT    /v1/objects/<key>                 body {"value", "if_version"}; 200 {"version"} | 409 {"version"}
+///   DELETE /v1/objects/<key>?if_version=<n>  200 {"version"} | 404 | 409 {"version"}
+///   GET    /v1/list?prefix=<p>               200 {"revision", "objects": [{"key", "version", "value"}]}
+///   GET    /v1/watch?prefix=<p>&after=<n>&wait_ms=<n>
+///                                            200 {"revision", "gap"?, "objects": [...]}, in any order
+///                                            (a removal has "deleted": true) | 410 for a gap
+///   GET    /v1/hosts                         200 {"revision"?, "hosts": [{"name", "zone", "address",
+///                                            "kind": "entry" or "backend", "state": "live" or "leaving"}]}
+/// Versions are revisions of the whole store, so they also rise over a removal and a new creation.
+/// Any other status means that the service is unavailable. Unknown members of answers are ignored.
+[[nodiscard]] http2::request get(std::string_view key);
+[[nodiscard]] http2::request put(std::string_view key, const nlohmann::json& value, std::uint64_t if_version);
+[[nodiscard]] http2::request remove(std::string_view key, std::uint64_t if_version);
+[[nodiscard]] http2::request list(std::string_view prefix);
+[[nodiscard]] http2::request watch(std::string_view prefix, std::uint64_t after, duration wait);
+[[nodiscard]] http2::request hosts();
+
+/// A reply, or nothing and the reason, as the transport reported it.
+using reply = std::optional<http2::response>;
+
+/// Results read from the replies. `max_bytes` bounds the body that is parsed.
+[[nodiscard]] store_result read_get(const reply& answer, const error& reason, std::size_t max_bytes);
+[[nodiscard]] store_result read_put(const reply& answer, const error& reason, std::size_t max_bytes);
+[[nodiscard]] store_result read_remove(const reply& answer, const error& reason, std::size_t max_bytes);
+[[nodiscard]] list_result read_list(const reply& answer, const error& reason, std::size_t max_bytes);
+[[nodiscard]] watch_result read_watch(const reply& answer, const error& reason, std::size_t max_bytes);
+[[nodiscard]] hosts_result read_hosts(const reply& answer, const error& reason, std::size_t max_bytes);
+
+} // namespace gentianhill::store_wire
