Add the network of daemons with bounded neighbours and a ticket relay tree

Cause: daemons exchange heartbeats, group views, opinions and tickets; a full mesh of heartbeats every 500 ms does not fit 3 KB/s in a large fleet, and a platform watch per daemon does not fit the platform's call rate.

Ruled out: heartbeats from both sides of a pair (an answer already is a sign of life, so each exchange restarts the timer of both sides); the sender's identity in each message (sent once per connection, it is the greater part of a heartbeat); counting a message as a sign of life before its content was found well-formed.

Conclusion: the control traffic of a daemon no longer grows with the fleet; the distribution at 2,300 daemons is still to be computed.

--- a/gentianhill/peer/peer_endpoint.h
+++ b/gentianhill/peer/peer_endpoint.h
@@ -61,22 +61,20 @@
     struct connection_state {
         /// Sender as introduced on this connection.
         std::optional<peer_envelope> peer;
-        /// Summary that the peer acknowledged by a later request.
+        /// Summary last sent on this connection.
         nlohmann::json summary_sent;
     };
 
     [[nodiscard]] http2::response handle(http2::connection_id id, const http2::request& message);
-    [[nodiscard]] std::optional<nlohmann::json> dispatch(peer_message_kind kind, connection_state& connection,
+    [[nodiscard]] std::optional<nlohmann::json> handle_checked(http2::connection_id id,
+                                                               const http2::request& message, error& reason);
+    [[nodiscard]] std::optional<nlohmann::json> dispatch(peer_message_kind kind, http2::connection_id id,
                                                          const peer_envelope& sender,
                                                          const nlohmann::json& message, error& reason);
-    [[nodiscard]] std::optional<nlohmann::json> heartbeat(connection_state& connection,
+    [[nodiscard]] std::optional<nlohmann::json> heartbeat(http2::connection_id id,
                                                           const peer_envelope& sender,
                                                           const nlohmann::json& message, error& reason);
-    [[nodiscard]] std::optional<nlohmann::json> group_views(const peer_envelope& sender,
-                                                            const nlohmann::json& message, error& reason);
-    [[nodiscard]] std::optional<nlohmann::json> tickets(const peer_envelope& sender,
-                                                        const nlohmann::json& message, error& reason);
-    [[nodiscard]] bool check_sender(const peer_envelope& sender, error& reason) const;
+    [[nodiscard]] bool is_known(const peer_envelope& sender, error& reason) const;
 
     peer_endpoint_settings settings_;
     const peer_handlers& handlers_;
--- a/gentianhill/peer/peer_link.h
+++ b/gentianhill/peer/peer_link.h
@@ -39,7 +39,6 @@
 
     peer_link(event_loop& loop, const peer_link_settings& settings, envelope_source envelope,
               sender_check on_sender, std::function<double()> random);
-    ~peer_link();
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
 
@@ -59,9 +58,11 @@
 
 private:
     void answered(const std::optional<http2::response>& reply, const error& reason, std::uint64_t connection,
-                  const answer_handler& on_answer);
+                  const std::optional<peer_envelope>& known, const answer_handler& on_answer);
     [[nodiscard]] std::optional<peer_envelope> read_sender(const nlohmann::json& body,
-                                                           std::uint64_t connection, error& reason);
+                                                           std::uint64_t connection,
+                                                           const std::optional<peer_envelope>& known,
+                                                           error& reason);
 
     peer_link_settings settings_;
     envelope_source envelope_;
@@ -69,7 +70,6 @@
     /// Connection on which the peer knows this daemon's identity, and it that of the peer; 0 for none.
     std::uint64_t introduced_on_ = 0;
     std::optional<peer_envelope> peer_;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     http2::reconnecting_client client_;
 };
 
--- a/gentianhill/peer/peer_messages.h
+++ b/gentianhill/peer/peer_messages.h
@@ -33,6 +33,8 @@
     /// State that the daemon announces, such as its highest ticket number; null when it has not changed since
     /// the last heartbeat that the receiver acknowledged.
     nlohmann::json summary;
+    /// True in a request when the summary of the receiver may have been missed and is wanted in any case.
+    bool wants_summary = false;
 
     [[nodiscard]] nlohmann::json to_json() const;
     [[nodiscard]] static std::optional<peer_heartbeat> from_json(const nlohmann::json& value, error& reason);
--- a/gentianhill/peer/peer_network.h
+++ b/gentianhill/peer/peer_network.h
@@ -26,7 +26,8 @@
     std::uint64_t incarnation = 0;
     /// Address to listen on and limits of requests.
     peer_endpoint_settings endpoint;
-    /// Time between two exchanges with a neighbour; each is shortened by up to the jitter share.
+    /// Time between two exchanges with a neighbour, whichever side begins; each is shortened by up to the
+    /// jitter share.
     duration heartbeat_interval = std::chrono::milliseconds{500};
     double heartbeat_jitter = 0.2;
     /// Longest wait for the answer to a heartbeat.
@@ -37,6 +38,8 @@
     duration silence_limit = std::chrono::seconds{3};
     /// A link that was opened for a question is closed after this time without use.
     duration idle_link_lifetime = std::chrono::seconds{60};
+    /// Time between two checks for silent neighbours and idle links.
+    duration check_interval = std::chrono::milliseconds{250};
     neighbour_settings neighbours;
     relay_tree_settings relay;
     http2::backoff_settings reconnect{std::chrono::milliseconds{100}, std::chrono::seconds{2}, 0.5};
@@ -97,22 +100,23 @@
 
     /// Sends news about groups to the neighbours, which pass it on. `except` already knows it.
     void push_group_views(const group_view_push& push, const std::string& except = {});
-    /// Sends tickets to the daemons below this one in the relay tree and, as the watcher of a zone, to the
-    /// neighbours in other zones. `except` already knows them.
+    /// Sends tickets to the daemons below this one in the relay tree of the zone, and in place of one that
+    /// does not answer to those below it. `except` already knows them. Other zones have watchers of their
+    /// own; a zone without the platform learns of new tickets from the summaries of its neighbours.
     void push_tickets(const ticket_batch& batch, const std::string& except = {});
     /// Asks one daemon in each other zone; a second one when the first does not answer.
     void ask_other_zones(const opinion_request& question, duration timeout, opinions_handler on_done);
     /// Reads tickets above a number from one daemon, or from the best neighbour if the name is empty. The
     /// batch is not passed to handlers.on_tickets.
-    void pull_tickets(const std::string& daemon, const tickets_pull& pull, tickets_handler on_result);
+    void pull_tickets(const std::string& daemon, const tickets_pull& pull, const tickets_handler& on_result);
     /// Reads a part of the timeline of one daemon.
     void read_timeline(const std::string& daemon, const timeline_request& request,
-                       timeline_handler on_result);
+                       const timeline_handler& on_result);
 
     /// Daemons that this one exchanges heartbeats with.
     [[nodiscard]] const std::set<std::string>& neighbours() const { return neighbours_; }
     /// Neighbours that have not been heard within the silence limit.
-    [[nodiscard]] std::set<std::string> silent_neighbours(time_point now) const;
+    [[nodiscard]] std::set<std::string> silent_neighbours() const;
     /// True when this daemon watches the platform's tickets for its zone.
     [[nodiscard]] bool is_ticket_watcher() const { return is_watcher_; }
     /// Time since the last message of a peer; nothing when it was never heard.
@@ -126,37 +130,54 @@
         std::unique_ptr<peer_link> link;
         std::optional<time_point> heard_at;
         std::optional<time_point> heartbeat_received_at;
+        std::uint64_t incarnation = 0;
         time_point neighbour_since{};
-        time_point exchanged_at{};
         time_point used_at{};
+        timer beat_timer;
         /// Summary that the peer acknowledged, and the connection on which it did.
         nlohmann::json summary_acknowledged;
         std::uint64_t summary_connection = 0;
+        /// True after a lost answer, which may have contained a summary.
+        bool wants_summary = true;
         bool heartbeat_open = false;
         bool silent = false;
     };
     struct zone_question;
+    using ticket_message = std::shared_ptr<const nlohmann::json>;
 
     [[nodiscard]] peer_envelope own_envelope() const;
     [[nodiscard]] peer_state* find(const std::string& daemon);
     [[nodiscard]] peer_link& link_of(peer_state& peer);
     bool accept_sender(const peer_envelope& sender, error& reason);
-    void drop(const std::string& daemon);
+    void note_heartbeat_received(const std::string& daemon);
+    void close_link(peer_state& peer);
     void tick();
-    void update_silence(time_point now);
+    [[nodiscard]] bool update_silence(time_point now);
     void choose();
-    void beat(peer_state& peer, time_point now);
+    [[nodiscard]] bool choose_relay(const std::set<std::string>& silent);
+    void schedule_beat(peer_state& peer, bool is_first);
+    void beat(peer_state& peer);
     void heartbeat_answered(const std::string& daemon, std::uint64_t connection, const nlohmann::json& sent,
                             const peer_envelope* sender, const nlohmann::json& answer);
     void close_idle_links(time_point now);
-    void send_to(peer_state& peer, peer_message_kind kind, const nlohmann::json& message);
+    void ask_peer(peer_state& peer, peer_message_kind kind, const nlohmann::json& message, duration timeout,
+                  const peer_link::answer_handler& on_answer);
+    void relay(const std::string& daemon, const ticket_message& message, const std::string& except);
+    [[nodiscard]] std::vector<std::string> opinion_candidates(const opinion_request& question,
+                                                              const std::string& zone) const;
     void ask_zone(const std::shared_ptr<zone_question>& question, const std::vector<std::string>& candidates,
                   std::size_t index);
-    [[nodiscard]] std::vector<std::string> forwarding_set(time_point now, const std::string& except) const;
+    static void zone_ended(const std::shared_ptr<zone_question>& question);
+    static void finish_question(const std::shared_ptr<zone_question>& question);
+    [[nodiscard]] std::set<std::string> heartbeat_partners(time_point now) const;
+    [[nodiscard]] std::string best_source() const;
+    void fail_later(const std::string& daemon, const std::function<void(const error&)>& on_result);
 
     event_loop& loop_;
     peer_network_settings settings_;
+    /// Hooks of the daemon; on_sender is wrapped by accept_sender().
     peer_handlers handlers_;
+    std::function<bool(const peer_envelope&, error& reason)> on_sender_;
     std::function<double()> random_;
     peer_endpoint endpoint_;
     std::map<std::string, peer_state> peers_;
--- a/gentianhill/peer/relay_tree.h
+++ b/gentianhill/peer/relay_tree.h
@@ -16,9 +16,10 @@
     std::size_t fan_out = 4;
 };
 
-/// Place of one daemon in the relay tree of its zone. Every daemon computes it from its own view of the zone:
-/// the members ordered by hash, without those known to be silent. Views that differ cost a repeated or a
-/// missing message, which the comparison of ticket numbers in heartbeats repairs.
+/// Place of one daemon in the relay tree of its zone. Every daemon computes the tree from its own view of the
+/// zone: all members ordered by hash, the first ones are the roots. A silent daemon keeps its place; those
+/// below it turn to the next one above, or watch the platform themselves when there is none. Views that
+/// differ cost a repeated or a missing message, which the comparison of ticket numbers in heartbeats repairs.
 class relay_tree {
 public:
     /// `members` are all daemons of the zone, `self` included.
@@ -29,14 +30,24 @@
     [[nodiscard]] bool is_watcher() const { return !parent_; }
     /// Daemon that passes tickets on to this one; nothing for a watcher.
     [[nodiscard]] const std::optional<std::string>& parent() const { return parent_; }
-    /// Daemons that this one passes tickets on to.
-    [[nodiscard]] const std::vector<std::string>& children() const { return children_; }
-    /// Steps from a watcher to this daemon.
+    /// Daemon directly above, silent or not; nothing for a root. Its return is worth noticing.
+    [[nodiscard]] const std::optional<std::string>& designated_parent() const { return designated_parent_; }
+    /// Daemons directly below this one.
+    [[nodiscard]] std::vector<std::string> children() const { return children_of(self_); }
+    /// Daemons directly below another one, which are served in its place when it does not answer.
+    [[nodiscard]] std::vector<std::string> children_of(const std::string& daemon) const;
+    /// Steps from a root to this daemon.
     [[nodiscard]] std::size_t depth() const { return depth_; }
 
 private:
+    [[nodiscard]] std::optional<std::size_t> index_of(const std::string& daemon) const;
+    [[nodiscard]] std::optional<std::size_t> parent_of(std::size_t index) const;
+
+    relay_tree_settings settings_;
+    std::string self_;
+    std::vector<std::string> order_;
     std::optional<std::string> parent_;
-    std::vector<std::string> children_;
+    std::optional<std::string> designated_parent_;
     std::size_t depth_ = 0;
 };
 
