Bound the heartbeats of daemons that many others chose

Cause: the neighbour sets are small, but the number of daemons that chose one varies; at 2,300 daemons the greatest number of partners is 14, which at 500 ms would be above 3 KB/s.

Change: above 7 partners the interval grows in proportion, up to a third of the silence limit, and partners are told when it changes; fan-out 2; the survey of zones is a class of its own; the bench computes neighbour sets of fleets that are too large to run (--plan).

--- a/gentianhill/peer/peer_endpoint.cpp
+++ b/gentianhill/peer/peer_endpoint.cpp
@@ -186,17 +186,22 @@
         return std::nullopt;
     }
     if (on_heartbeat) {
-        on_heartbeat(sender);
+        on_heartbeat(sender, *read);
     }
     if (!read->summary.is_null()) {
         handlers_.on_summary(sender, read->summary);
     }
     peer_heartbeat answer;
+
     const nlohmann::json summary = handlers_.summary();
+    const std::int64_t interval_ms = answer_interval_ms ? answer_interval_ms() : 0;
     connection_state& connection = connections_[id];
-    if (read->wants_summary || summary != connection.summary_sent) {
+    const bool is_changed = summary != connection.summary_sent || interval_ms != connection.interval_ms_sent;
+    if (read->wants_summary || is_changed) {
         connection.summary_sent = summary;
+        connection.interval_ms_sent = interval_ms;
         answer.summary = summary;
+        answer.interval_ms = interval_ms;
     }
     return answer.to_json();
 }
--- a/gentianhill/peer/peer_endpoint.h
+++ b/gentianhill/peer/peer_endpoint.h
@@ -47,8 +47,10 @@
 
     views_forwarder forward_views;
     tickets_forwarder forward_tickets;
-    /// Called for the sender of each accepted heartbeat; may be empty.
-    std::function<void(const peer_envelope&)> on_heartbeat;
+    /// Called for each accepted heartbeat; may be empty.
+    std::function<void(const peer_envelope&, const peer_heartbeat&)> on_heartbeat;
+    /// Value of interval_ms in answers; may be empty.
+    std::function<std::int64_t()> answer_interval_ms;
 
     /// Starts to listen. Errors: bind_failed.
     [[nodiscard]] bool listen(error& reason) { return server_.listen(reason); }
@@ -63,6 +65,7 @@
         std::optional<peer_envelope> peer;
         /// Summary last sent on this connection.
         nlohmann::json summary_sent;
+        std::int64_t interval_ms_sent = 0;
     };
 
     [[nodiscard]] http2::response handle(http2::connection_id id, const http2::request& message);
--- a/gentianhill/peer/peer_messages.cpp
+++ b/gentianhill/peer/peer_messages.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::size_t max_items = 10'000;
 constexpr std::size_t max_name_bytes = 256;
+constexpr std::int64_t max_interval_ms = 60'000;
 constexpr std::int64_t max_age_ms = std::int64_t{1} << 40;
 
 /// Reads an array of objects.
@@ -81,6 +82,9 @@
     if (wants_summary) {
         value["wants_summary"] = true;
     }
+    if (interval_ms) {
+        value["interval_ms"] = *interval_ms;
+    }
     return value;
 }
 
@@ -89,6 +93,7 @@
     peer_heartbeat heartbeat;
     heartbeat.summary = reader.any("summary");
     heartbeat.wants_summary = reader.boolean("wants_summary", false);
+    heartbeat.interval_ms = reader.optional_integer("interval_ms", 0, max_interval_ms);
     return checked(reader, heartbeat);
 }
 
--- a/gentianhill/peer/peer_messages.h
+++ b/gentianhill/peer/peer_messages.h
@@ -35,6 +35,9 @@
     nlohmann::json summary;
     /// True in a request when the summary of the receiver may have been missed and is wanted in any case.
     bool wants_summary = false;
+    /// Time between two exchanges that the sender asks for, in milliseconds, since it has many partners; 0
+    /// for the usual one. Sent together with the summary, absent when neither has changed.
+    std::optional<std::int64_t> interval_ms;
 
     [[nodiscard]] nlohmann::json to_json() const;
     [[nodiscard]] static std::optional<peer_heartbeat> from_json(const nlohmann::json& value, error& reason);
--- a/gentianhill/peer/peer_network.cpp
+++ b/gentianhill/peer/peer_network.cpp
@@ -8,18 +8,6 @@
 
 namespace gentianhill {
 
-/// A question to one daemon in each other zone, while answers are outstanding.
-struct peer_network::zone_question {
-    opinion_request request;
-    duration timeout{};
-    std::size_t zones_asked = 0;
-    std::size_t zones_open = 0;
-    std::vector<peer_opinion> opinions;
-    opinions_handler on_done;
-    /// Ends the question even if a peer is removed meanwhile.
-    timer deadline;
-};
-
 peer_network::peer_network(event_loop& loop, const peer_network_settings& settings, peer_handlers handlers,
                            std::function<double()> random)
     : loop_(loop),
@@ -30,7 +18,11 @@
     on_sender_ = std::exchange(handlers_.on_sender, [this](const peer_envelope& sender, error& reason) {
         return accept_sender(sender, reason);
     });
-    endpoint_.on_heartbeat = [this](const peer_envelope& sender) { note_heartbeat_received(sender.daemon); };
+    endpoint_.on_heartbeat = [this](const peer_envelope& sender, const peer_heartbeat& heartbeat) {
+        note_heartbeat_received(sender.daemon, heartbeat);
+    };
+    endpoint_.answer_interval_ms = [this] { return requested_interval_ms(); };
+    interval_ = settings_.heartbeat_interval;
     endpoint_.forward_views = [this](const peer_envelope& sender, const group_view_push& push) {
         push_group_views(push, sender.daemon);
     };
@@ -57,8 +49,6 @@
     endpoint_.shut_down();
 }
 
-// Membership
-
 void peer_network::set_peers(const std::vector<peer_address>& peers) {
     std::set<std::string> wanted;
     bool changed = false;
@@ -151,12 +141,35 @@
     return true;
 }
 
-void peer_network::note_heartbeat_received(const std::string& daemon) {
+void peer_network::note_interval(peer_state& peer, const peer_heartbeat& heartbeat) const {
+    if (heartbeat.interval_ms) {
+        const duration limit = settings_.silence_limit / 3;
+        peer.interval = std::min<duration>(std::chrono::milliseconds{*heartbeat.interval_ms}, limit);
+    }
+}
+
+std::int64_t peer_network::requested_interval_ms() const {
+    return interval_ > settings_.heartbeat_interval ? to_milliseconds(interval_) : 0;
+}
+
+void peer_network::update_interval(time_point now) {
+    const std::size_t partners = heartbeat_partners(now).size();
+    const std::size_t full_rate = settings_.partners_at_full_rate;
+    interval_ = settings_.heartbeat_interval;
+    if (partners > full_rate) {
+        const duration grown = settings_.heartbeat_interval * static_cast<std::int64_t>(partners) /
+                               static_cast<std::int64_t>(full_rate);
+        interval_ = std::max(interval_, std::min(grown, settings_.silence_limit / 3));
+    }
+}
+
+void peer_network::note_heartbeat_received(const std::string& daemon, const peer_heartbeat& heartbeat) {
     peer_state* peer = find(daemon);
     if (peer == nullptr) {
         return;
     }
     peer->heartbeat_received_at = event_loop::now();
+    note_interval(*peer, heartbeat);
     if (neighbours_.count(daemon) > 0) {
         // The answer to this heartbeat serves both sides.
         schedule_beat(*peer, false);
@@ -187,13 +200,12 @@
     });
 }
 
-// Neighbours
-
 void peer_network::tick() {
     const time_point now = event_loop::now();
     if (update_silence(now)) {
         choose();
     }
+    update_interval(now);
     close_idle_links(now);
     tick_ = loop_.call_after(settings_.check_interval, [this] { tick(); });
 }
@@ -287,8 +299,6 @@
     return now - *found->second.heard_at;
 }
 
-// Links and heartbeats
-
 peer_link& peer_network::link_of(peer_state& peer) {
     peer.used_at = event_loop::now();
     if (peer.link == nullptr) {
@@ -322,7 +332,7 @@
 
 void peer_network::schedule_beat(peer_state& peer, bool is_first) {
     const double share = is_first ? random_() : 1.0 - settings_.heartbeat_jitter * random_();
-    const duration interval = settings_.heartbeat_interval;
+    const duration interval = std::max(interval_, peer.interval);
     const duration delay{static_cast<std::int64_t>(static_cast<double>(interval.count()) * share)};
     const std::string daemon = peer.address.daemon;
     peer.beat_timer = loop_.call_after(delay, [this, daemon] {
@@ -342,27 +352,29 @@
     }
     peer_link& link = link_of(peer);
     const nlohmann::json summary = handlers_.summary();
+    const std::int64_t interval_ms = requested_interval_ms();
     const bool is_acknowledged = link.is_connected() && peer.summary_connection == link.connection_number() &&
-                                 summary == peer.summary_acknowledged;
-    peer_heartbeat heartbeat;
-    heartbeat.summary = is_acknowledged ? nlohmann::json{} : summary;
-    heartbeat.wants_summary = peer.wants_summary;
+                                 summary == peer.summary_acknowledged &&
+                                 interval_ms == peer.interval_ms_acknowledged;
+    const peer_heartbeat announced{summary, peer.wants_summary, interval_ms};
+    const peer_heartbeat unchanged{nullptr, peer.wants_summary, std::nullopt};
     peer.heartbeat_open = true;
     const std::string daemon = peer.address.daemon;
     const std::shared_ptr<std::uint64_t> connection = std::make_shared<std::uint64_t>(0);
     const std::weak_ptr<bool> alive = alive_;
-    link.ask(peer_message_kind::heartbeat, heartbeat.to_json(), settings_.heartbeat_timeout,
-             [this, alive, daemon, summary, connection](const peer_envelope* sender,
-                                                        const nlohmann::json& answer, const error&) {
+    link.ask(peer_message_kind::heartbeat, (is_acknowledged ? unchanged : announced).to_json(),
+             settings_.heartbeat_timeout,
+             [this, alive, daemon, announced, connection](const peer_envelope* sender,
+                                                          const nlohmann::json& answer, const error&) {
                  if (!alive.expired()) {
-                     heartbeat_answered(daemon, *connection, summary, sender, answer);
+                     heartbeat_answered(daemon, *connection, announced, sender, answer);
                  }
              });
     *connection = link.connection_number();
 }
 
 void peer_network::heartbeat_answered(const std::string& daemon, std::uint64_t connection,
-                                      const nlohmann::json& sent, const peer_envelope* sender,
+                                      const peer_heartbeat& sent, const peer_envelope* sender,
                                       const nlohmann::json& answer) {
     peer_state* peer = find(daemon);
     if (peer == nullptr) {
@@ -377,14 +389,16 @@
     // After a lost answer both summaries are sent again.
     peer->wants_summary = !read;
     peer->summary_connection = read ? connection : 0;
-    peer->summary_acknowledged = sent;
+    peer->summary_acknowledged = sent.summary;
+    peer->interval_ms_acknowledged = sent.interval_ms.value_or(0);
+    if (read) {
+        note_interval(*peer, *read);
+    }
     if (read && !read->summary.is_null()) {
         handlers_.on_summary(*sender, read->summary);
     }
 }
 
-// Messages
-
 void peer_network::ask_peer(peer_state& peer, peer_message_kind kind, const nlohmann::json& message,
                             duration timeout, const peer_link::answer_handler& on_answer) {
     const std::weak_ptr<bool> alive = alive_;
@@ -440,29 +454,45 @@
 }
 
 void peer_network::ask_other_zones(const opinion_request& question, duration timeout,
-                                   opinions_handler on_done) {
-    std::set<std::string> zones;
+                                   const opinions_handler& on_done) {
+    std::map<std::string, std::vector<std::string>> candidates;
     for (const std::pair<const std::string, peer_state>& entry : peers_) {
-        if (entry.second.address.zone != settings_.zone) {
-            zones.insert(entry.second.address.zone);
+        const std::string& zone = entry.second.address.zone;
+        if (zone != settings_.zone && candidates.count(zone) == 0) {
+            candidates[zone] = opinion_candidates(question, zone);
         }
     }
-    const std::shared_ptr<zone_question> open = std::make_shared<zone_question>();
-    open->request = question;
-    open->timeout = timeout;
-    open->zones_asked = zones.size();
-    open->zones_open = zones.size();
-    open->on_done = std::move(on_done);
+    // The first candidate has half of the time, so that the second one still can answer.
+    const nlohmann::json message = question.to_json();
+    const zone_survey::ask_hook ask = [this, message, timeout](const std::string& daemon,
+                                                               const zone_survey::answer_handler& on_answer) {
+        ask_opinion(daemon, message, timeout / 2, on_answer);
+    };
+    const duration limit = candidates.empty() ? duration{0} : timeout;
+    const std::shared_ptr<zone_survey> survey =
+        std::make_shared<zone_survey>(std::move(candidates), ask, on_done);
+    survey->start();
+    // The answers of a peer that is removed meanwhile never arrive.
     const std::weak_ptr<bool> alive = alive_;
-    const duration limit = zones.empty() ? duration{0} : timeout;
-    open->deadline = loop_.call_after(limit, [open, alive] {
+    loop_.run_after(limit, [survey, alive] {
         if (!alive.expired()) {
-            finish_question(open);
+            survey->finish();
         }
     });
-    for (const std::string& zone : zones) {
-        ask_zone(open, opinion_candidates(question, zone), 0);
+}
+
+void peer_network::ask_opinion(const std::string& daemon, const nlohmann::json& message, duration timeout,
+                               const zone_survey::answer_handler& on_answer) {
+    peer_state* peer = find(daemon);
+    if (peer == nullptr) {
+        on_answer(std::nullopt);
+        return;
     }
+    ask_peer(*peer, peer_message_kind::opinion, message, timeout,
+             [on_answer](const peer_envelope* sender, const nlohmann::json& value, const error&) {
+                 error reason;
+                 on_answer(sender == nullptr ? std::nullopt : opinion_answer::from_json(value, reason));
+             });
 }
 
 std::vector<std::string> peer_network::opinion_candidates(const opinion_request& question,
@@ -482,45 +512,6 @@
     return ranked;
 }
 
-void peer_network::ask_zone(const std::shared_ptr<zone_question>& question,
-                            const std::vector<std::string>& candidates, std::size_t index) {
-    peer_state* peer = index < candidates.size() ? find(candidates[index]) : nullptr;
-    if (peer == nullptr) {
-        zone_ended(question);
-        return;
-    }
-    const std::string zone = peer->address.zone;
-    // The first candidate has half of the time, so that the second one still can answer.
-    ask_peer(*peer, peer_message_kind::opinion, question->request.to_json(), question->timeout / 2,
-             [this, question, candidates, index, zone](const peer_envelope* sender,
-                                                       const nlohmann::json& value, const error&) {
-                 error reason;
-                 const std::optional<opinion_answer> answer =
-                     sender == nullptr ? std::nullopt : opinion_answer::from_json(value, reason);
-                 if (!answer) {
-                     ask_zone(question, candidates, index + 1);
-                     return;
-                 }
-                 question->opinions.push_back(peer_opinion{sender->daemon, zone, *answer});
-                 zone_ended(question);
-             });
-}
-
-void peer_network::zone_ended(const std::shared_ptr<zone_question>& question) {
-    --question->zones_open;
-    if (question->zones_open == 0) {
-        finish_question(question);
-    }
-}
-
-void peer_network::finish_question(const std::shared_ptr<zone_question>& question) {
-    const opinions_handler on_done = std::exchange(question->on_done, nullptr);
-    question->deadline.cancel();
-    if (on_done) {
-        on_done(question->opinions, question->zones_asked);
-    }
-}
-
 std::string peer_network::best_source() const {
     // The daemon above in the relay tree, then the neighbour heard last.
     if (tree_ && tree_->parent()) {
--- a/gentianhill/peer/peer_network.h
+++ b/gentianhill/peer/peer_network.h
@@ -6,6 +6,7 @@
 #include "gentianhill/peer/peer_handlers.h"
 #include "gentianhill/peer/peer_link.h"
 #include "gentianhill/peer/relay_tree.h"
+#include "gentianhill/peer/zone_survey.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,6 +31,10 @@
     /// jitter share.
     duration heartbeat_interval = std::chrono::milliseconds{500};
     double heartbeat_jitter = 0.2;
+    /// With more partners than this the interval grows in proportion, up to a third of the silence limit;
+    /// partners are told. One partner costs about 300 bytes/s at 500 ms (docs/CAPACITY.md), and 3 KB/s must
+    /// also hold tickets and group views.
+    std::size_t partners_at_full_rate = 7;
     /// Longest wait for the answer to a heartbeat.
     duration heartbeat_timeout = std::chrono::milliseconds{1000};
     /// Longest wait for the answer to other messages.
@@ -58,18 +63,11 @@
     std::uint64_t bytes_received = 0;
 };
 
-/// Answer of one daemon to a question.
-struct peer_opinion {
-    std::string daemon;
-    std::string zone;
-    opinion_answer answer;
-};
-
 /// All exchanges with other daemons. Each link is independent: a peer that is lost or slow delays no other.
 class peer_network {
 public:
     /// Receives the answers that arrived, at most one per zone, when all zones answered or failed.
-    using opinions_handler = std::function<void(const std::vector<peer_opinion>&, std::size_t zones_asked)>;
+    using opinions_handler = zone_survey::done_handler;
     using tickets_handler = std::function<void(std::optional<ticket_batch>, const error&)>;
     using timeline_handler = std::function<void(std::optional<timeline_answer>, const error&)>;
 
@@ -105,7 +103,7 @@
     /// own; a zone without the platform learns of new tickets from the summaries of its neighbours.
     void push_tickets(const ticket_batch& batch, const std::string& except = {});
     /// Asks one daemon in each other zone; a second one when the first does not answer.
-    void ask_other_zones(const opinion_request& question, duration timeout, opinions_handler on_done);
+    void ask_other_zones(const opinion_request& question, duration timeout, const opinions_handler& on_done);
     /// Reads tickets above a number from one daemon, or from the best neighbour if the name is empty. The
     /// batch is not passed to handlers.on_tickets.
     void pull_tickets(const std::string& daemon, const tickets_pull& pull, const tickets_handler& on_result);
@@ -134,22 +132,27 @@
         time_point neighbour_since{};
         time_point used_at{};
         timer beat_timer;
+        /// Interval that the peer asked for.
+        duration interval{0};
         /// Summary that the peer acknowledged, and the connection on which it did.
         nlohmann::json summary_acknowledged;
+        std::int64_t interval_ms_acknowledged = 0;
         std::uint64_t summary_connection = 0;
         /// True after a lost answer, which may have contained a summary.
         bool wants_summary = true;
         bool heartbeat_open = false;
         bool silent = false;
     };
-    struct zone_question;
     using ticket_message = std::shared_ptr<const nlohmann::json>;
 
     [[nodiscard]] peer_envelope own_envelope() const;
     [[nodiscard]] peer_state* find(const std::string& daemon);
     [[nodiscard]] peer_link& link_of(peer_state& peer);
     bool accept_sender(const peer_envelope& sender, error& reason);
-    void note_heartbeat_received(const std::string& daemon);
+    void note_heartbeat_received(const std::string& daemon, const peer_heartbeat& heartbeat);
+    void note_interval(peer_state& peer, const peer_heartbeat& heartbeat) const;
+    void update_interval(time_point now);
+    [[nodiscard]] std::int64_t requested_interval_ms() const;
     void close_link(peer_state& peer);
     void tick();
     [[nodiscard]] bool update_silence(time_point now);
@@ -157,7 +160,7 @@
     [[nodiscard]] bool choose_relay(const std::set<std::string>& silent);
     void schedule_beat(peer_state& peer, bool is_first);
     void beat(peer_state& peer);
-    void heartbeat_answered(const std::string& daemon, std::uint64_t connection, const nlohmann::json& sent,
+    void heartbeat_answered(const std::string& daemon, std::uint64_t connection, const peer_heartbeat& sent,
                             const peer_envelope* sender, const nlohmann::json& answer);
     void close_idle_links(time_point now);
     void ask_peer(peer_state& peer, peer_message_kind kind, const nlohmann::json& message, duration timeout,
@@ -165,10 +168,8 @@
     void relay(const std::string& daemon, const ticket_message& message, const std::string& except);
     [[nodiscard]] std::vector<std::string> opinion_candidates(const opinion_request& question,
                                                               const std::string& zone) const;
-    void ask_zone(const std::shared_ptr<zone_question>& question, const std::vector<std::string>& candidates,
-                  std::size_t index);
-    static void zone_ended(const std::shared_ptr<zone_question>& question);
-    static void finish_question(const std::shared_ptr<zone_question>& question);
+    void ask_opinion(const std::string& daemon, const nlohmann::json& message, duration timeout,
+                     const zone_survey::answer_handler& on_answer);
     [[nodiscard]] std::set<std::string> heartbeat_partners(time_point now) const;
     [[nodiscard]] std::string best_source() const;
     void fail_later(const std::string& daemon, const std::function<void(const error&)>& on_result);
@@ -184,6 +185,8 @@
     std::set<std::string> neighbours_;
     std::optional<relay_tree> tree_;
     bool is_watcher_ = false;
+    /// Time between two exchanges with one neighbour, for the present number of partners.
+    duration interval_;
     bool draining_ = false;
     bool started_ = false;
     timer tick_;
--- a/gentianhill/peer/relay_tree.h
+++ b/gentianhill/peer/relay_tree.h
@@ -12,8 +12,9 @@
 struct relay_tree_settings {
     /// Daemons per zone that watch the platform; the second one covers the failure of the first.
     std::size_t watchers = 2;
-    /// Daemons that each daemon passes tickets on to.
-    std::size_t fan_out = 4;
+    /// Daemons that each daemon passes tickets on to. Each one costs the bytes of every ticket; with 2 the
+    /// tree of 115 daemons has 5 steps.
+    std::size_t fan_out = 2;
 };
 
 /// Place of one daemon in the relay tree of its zone. Every daemon computes the tree from its own view of the
--- a/performance_test/control_plane/bench_settings.cpp
+++ b/performance_test/control_plane/bench_settings.cpp
@@ -14,6 +14,8 @@
     options::options_description_easy_init add = description.add_options();
     add("help", "print the options");
     add("daemons", options::value(&settings.daemons)->multitoken(), "numbers of daemons, one run each");
+    add("plan", options::value(&settings.planned_daemons)->multitoken(),
+        "sizes of fleets whose neighbour sets are only computed");
     add("zones", options::value(&settings.zones), "availability zones");
     add("groups", options::value(&settings.groups), "database groups");
     add("tickets", options::value(&settings.tickets_per_second), "new tickets per second");
--- a/performance_test/control_plane/bench_settings.h
+++ b/performance_test/control_plane/bench_settings.h
@@ -24,6 +24,8 @@
     double changes_per_second = 0;
     /// True when all daemons exchange heartbeats with all others, whatever their number.
     bool full_mesh = false;
+    /// Sizes of fleets whose neighbour sets are computed without running them.
+    std::vector<std::size_t> planned_daemons;
     /// Time before and during the measurement of each run.
     duration warm_up = std::chrono::seconds{2};
     duration length = std::chrono::seconds{5};
--- a/performance_test/control_plane/fleet_run.cpp
+++ b/performance_test/control_plane/fleet_run.cpp
@@ -46,6 +46,7 @@
         network.endpoint.listen = endpoint{"127.0.0.1", 0};
         if (settings_.full_mesh) {
             network.neighbours.full_mesh_limit = daemons_.size();
+            network.partners_at_full_rate = daemons_.size();
         }
         daemons_[i].network =
             std::make_unique<peer_network>(loop_, network, handlers_of(daemons_[i]), [this] {
--- a/performance_test/control_plane/fleet_run.h
+++ b/performance_test/control_plane/fleet_run.h
@@ -22,7 +22,7 @@
     double messages_per_second = 0;
     /// Share of one core, in percent.
     double cpu_percent = 0;
-    /// Neighbours, on average.
+    /// Neighbours chosen by each daemon, on average.
     double neighbours = 0;
     /// Resident memory added by each daemon, in KiB.
     double memory_kib = 0;
--- a/performance_test/control_plane/main.cpp
+++ b/performance_test/control_plane/main.cpp
@@ -1,4 +1,5 @@
 #include "performance_test/control_plane/bench_settings.h"
+#include "performance_test/control_plane/fleet_plan.h"
 #include "performance_test/control_plane/fleet_run.h"
 
 #include <fmt/format.h>
@@ -43,6 +44,25 @@
     std::fflush(stdout);
 }
 
+/// Prints the shape of planned fleets, for several sizes of the neighbour set and of the relay tree.
+void print_plans(const bench_settings& settings) {
+    fmt::print("{:>7} {:>8} {:>11} {:>7} {:>10} {:>9} {:>9} {:>8} {:>6} {:>8}\n", "daemons", "own_zone",
+               "other_zones", "fan_out", "pairs mean", "pairs p99", "pairs max", "watchers", "depth",
+               "reached");
+    for (const std::size_t daemons : settings.planned_daemons) {
+        for (const std::size_t own_zone : {0, 1, 2}) {
+            for (const std::size_t fan_out : {2, 3, 4}) {
+                const neighbour_settings neighbours{8, own_zone, 1};
+                const fleet_plan plan =
+                    plan_fleet(daemons, settings.zones, neighbours, relay_tree_settings{2, fan_out});
+                fmt::print("{:>7} {:>8} {:>11} {:>7} {:>10.2f} {:>9} {:>9} {:>8} {:>6} {:>8}\n", daemons,
+                           own_zone, neighbours.other_zones, fan_out, plan.pairs_mean, plan.pairs_p99,
+                           plan.pairs_max, plan.watchers, plan.relay_depth, plan.reached);
+            }
+        }
+    }
+}
+
 } // namespace
 
 int main(int count, char** arguments) {
@@ -52,6 +72,10 @@
         fmt::print(stderr, "{}\n", reason.describe());
         return 2;
     }
+    if (!settings->planned_daemons.empty()) {
+        print_plans(*settings);
+        return 0;
+    }
     fmt::print("zones={} groups={} tickets/s={} ticket_bytes={} changes/s={} {}\n", settings->zones,
                settings->groups, settings->tickets_per_second, settings->ticket_bytes,
                settings->changes_per_second, settings->full_mesh ? "full mesh" : "bounded neighbours");
--- a/tests/peer/peer_network_tests.cpp
+++ b/tests/peer/peer_network_tests.cpp
@@ -162,6 +162,27 @@
     CHECK(bytes < 200 * messages);
 }
 
+// Guards against a daemon that many others chose and that therefore exceeds its share of control traffic.
+TEST_CASE_FIXTURE(network_fixture, "heartbeats_of_a_daemon_with_many_partners_are_less_frequent") {
+    base.neighbours.full_mesh_limit = 20;
+    std::vector<std::uint64_t> messages;
+    for (const std::size_t full_rate : {8, 4}) {
+        base.partners_at_full_rate = full_rate;
+        daemons.clear();
+        addresses.clear();
+        start_fleet(9, {"za"});
+        run_for(200ms);
+        const peer_network_counters before = daemons["eh-1"].network->counters();
+        run_for(400ms);
+        const peer_network_counters after = daemons["eh-1"].network->counters();
+        messages.push_back(after.messages_sent + after.messages_received - before.messages_sent -
+                           before.messages_received);
+    }
+    // 8 partners at an interval for 4 are exchanged with half as often.
+    CHECK(messages[1] > messages[0] / 4);
+    CHECK(messages[1] < messages[0] * 2 / 3);
+}
+
 // Guards against a drain that peers learn only from the platform's list.
 TEST_CASE_FIXTURE(network_fixture, "draining_notice_reaches_all_neighbours") {
     start_fleet(3, {"za"});
