Send group views to a single daemon that missed them

Cause: a push that was lost in a partition is noticed by the digests in heartbeats, but there was no way to repeat it to one daemon.

Ruled out: a pull of group views; the daemon that notices already holds them.

Change: peer_network::send_group_views; messages to one daemon share ask_daemon, which reports unknown_daemon for a daemon that is not a peer.

--- a/gentianhill/peer/peer_network.cpp
+++ b/gentianhill/peer/peer_network.cpp
@@ -411,16 +411,35 @@
         });
 }
 
+void peer_network::ask_daemon(const std::string& daemon, peer_message_kind kind,
+                              const nlohmann::json& message, const peer_link::answer_handler& on_answer) {
+    peer_state* peer = find(daemon);
+    if (peer != nullptr) {
+        ask_peer(*peer, kind, message, settings_.message_timeout, on_answer);
+        return;
+    }
+    const std::weak_ptr<bool> alive = alive_;
+    loop_.run_after(duration{0}, [alive, daemon, on_answer] {
+        if (!alive.expired()) {
+            on_answer(nullptr, nullptr,
+                      error{error_code::unknown_daemon, "daemon", daemon, "a daemon of the peer set"});
+        }
+    });
+}
+
 void peer_network::push_group_views(const group_view_push& push, const std::string& except) {
-    const nlohmann::json message = push.to_json();
     for (const std::string& name : heartbeat_partners(event_loop::now())) {
         if (name != except) {
-            ask_peer(*find(name), peer_message_kind::group_view, message, settings_.message_timeout,
-                     [](const peer_envelope*, const nlohmann::json&, const error&) {});
+            send_group_views(name, push);
         }
     }
 }
 
+void peer_network::send_group_views(const std::string& daemon, const group_view_push& push) {
+    ask_daemon(daemon, peer_message_kind::group_view, push.to_json(),
+               [](const peer_envelope*, const nlohmann::json&, const error&) {});
+}
+
 void peer_network::push_tickets(const ticket_batch& batch, const std::string& except) {
     if (!tree_ || batch.tickets.empty()) {
         return;
@@ -529,50 +548,30 @@
     return best;
 }
 
-void peer_network::fail_later(const std::string& daemon, const std::function<void(const error&)>& on_result) {
-    const std::weak_ptr<bool> alive = alive_;
-    loop_.run_after(duration{0}, [alive, daemon, on_result] {
-        if (!alive.expired()) {
-            on_result(error{error_code::unknown_daemon, "daemon", daemon, "a daemon of the peer set"});
-        }
-    });
-}
-
 void peer_network::pull_tickets(const std::string& daemon, const tickets_pull& pull,
                                 const tickets_handler& on_result) {
-    const std::string source = daemon.empty() ? best_source() : daemon;
-    peer_state* peer = find(source);
-    if (peer == nullptr) {
-        fail_later(source, [on_result](const error& reason) { on_result(std::nullopt, reason); });
-        return;
-    }
-    ask_peer(*peer, peer_message_kind::tickets_pull, pull.to_json(), settings_.message_timeout,
-             [on_result](const peer_envelope* sender, const nlohmann::json& answer, const error& failure) {
-                 error reason = failure;
-                 std::optional<ticket_batch> batch;
-                 if (sender != nullptr) {
-                     batch = ticket_batch::from_json(answer, reason);
-                 }
-                 on_result(std::move(batch), reason);
-             });
+    ask_daemon(daemon.empty() ? best_source() : daemon, peer_message_kind::tickets_pull, pull.to_json(),
+               [on_result](const peer_envelope* sender, const nlohmann::json& answer, const error& failure) {
+                   error reason = failure;
+                   std::optional<ticket_batch> batch;
+                   if (sender != nullptr) {
+                       batch = ticket_batch::from_json(answer, reason);
+                   }
+                   on_result(std::move(batch), reason);
+               });
 }
 
 void peer_network::read_timeline(const std::string& daemon, const timeline_request& request,
                                  const timeline_handler& on_result) {
-    peer_state* peer = find(daemon);
-    if (peer == nullptr) {
-        fail_later(daemon, [on_result](const error& reason) { on_result(std::nullopt, reason); });
-        return;
-    }
-    ask_peer(*peer, peer_message_kind::timeline, request.to_json(), settings_.message_timeout,
-             [on_result](const peer_envelope* sender, const nlohmann::json& answer, const error& failure) {
-                 error reason = failure;
-                 std::optional<timeline_answer> events;
-                 if (sender != nullptr) {
-                     events = timeline_answer::from_json(answer, reason);
-                 }
-                 on_result(std::move(events), reason);
-             });
+    ask_daemon(daemon, peer_message_kind::timeline, request.to_json(),
+               [on_result](const peer_envelope* sender, const nlohmann::json& answer, const error& failure) {
+                   error reason = failure;
+                   std::optional<timeline_answer> events;
+                   if (sender != nullptr) {
+                       events = timeline_answer::from_json(answer, reason);
+                   }
+                   on_result(std::move(events), reason);
+               });
 }
 
 peer_network_counters peer_network::counters() const {
--- a/gentianhill/peer/peer_network.h
+++ b/gentianhill/peer/peer_network.h
@@ -98,6 +98,8 @@
 
     /// Sends news about groups to the neighbours, which pass it on. `except` already knows it.
     void push_group_views(const group_view_push& push, const std::string& except = {});
+    /// Sends news about groups to one daemon, whose summary shows that it missed them.
+    void send_group_views(const std::string& daemon, const group_view_push& push);
     /// Sends tickets to the daemons below this one in the relay tree of the zone, and in place of one that
     /// does not answer to those below it. `except` already knows them. Other zones have watchers of their
     /// own; a zone without the platform learns of new tickets from the summaries of its neighbours.
@@ -172,7 +174,8 @@
                      const zone_survey::answer_handler& on_answer);
     [[nodiscard]] std::set<std::string> heartbeat_partners(time_point now) const;
     [[nodiscard]] std::string best_source() const;
-    void fail_later(const std::string& daemon, const std::function<void(const error&)>& on_result);
+    void ask_daemon(const std::string& daemon, peer_message_kind kind, const nlohmann::json& message,
+                    const peer_link::answer_handler& on_answer);
 
     event_loop& loop_;
     peer_network_settings settings_;
--- a/tests/peer/peer_network_tests.cpp
+++ b/tests/peer/peer_network_tests.cpp
@@ -288,6 +288,10 @@
     const std::size_t received = daemons["eh-2"].news_received;
     run_for(100ms);
     CHECK(daemons["eh-2"].news_received == received);
+    // One daemon that missed news is told by whoever notices.
+    daemons["eh-2"].views.clear();
+    daemons["eh-7"].network->send_group_views("eh-2", group_view_push{{{{"id", "v1"}}}});
+    CHECK(wait([this] { return daemons["eh-2"].views.count("v1") == 1; }));
 }
 
 // Guards against tickets that do not reach the daemons below one that has failed.
