Add the headers of the core protocol decisions

Cause: the daemon, the platform client and the peer streams are written against these interfaces at the same time as their implementation.

Ruled out: counting a fence answer once it has arrived. An instance that loses its state afterwards no longer holds the term and can be admitted under the old one, so a later answer of a second instance completes a majority that never existed at one moment. Also ruled out: dating a peer's report from its arrival, which makes it look newer by the time it travelled.

Measured: every header compiles alone (g++ -fsyntax-only).

Conclusion: interfaces only; nothing is implemented yet.

--- /dev/null
+++ b/gentianhill/consistency/group_view.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "gentianhill/consistency/group_configuration.h"
+#include "gentianhill/consistency/instance_report.h"
+#include "gentianhill/consistency/position_tracker.h"
+#include "gentianhill/consistency/staleness_tracker.h"
+#include "gentianhill/core/error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+
+namespace gentianhill {
+
+/// What one daemon knows of a database group.
+///
+/// Daemons exchange reports with ages, since their clocks are not comparable. A peer computes the ages after
+/// it received our request, so `asked_at - age` is never later than the time at which the peer sent its own
+/// request to the instance; using the arrival time instead would make a report look newer by the time it
+/// travelled, and a superseded primary look current. A view that arrives without having been asked for has no
+/// such bound: its reports are used for terms, positions and confirmation, which do not depend on time, and
+/// never for ages, admission or reachability. Clocks of daemons are assumed to run at the same rate.
+class group_view {
+public:
+    group_view(const group_configuration& configuration, const position_tracker_settings& positions,
+               const staleness_tracker_settings& staleness);
+
+    /// Takes in a report that this daemon received itself.
+    void apply(const instance_report& report);
+    /// Takes in the reports of a peer's view. `asked_at` is when this daemon sent the request that was
+    /// answered with the view, nothing when it was not asked for. Returns false and changes nothing on a
+    /// malformed view. Errors: those of object_reader; unknown_group for another group. Unknown instances are
+    /// skipped.
+    bool merge(const nlohmann::json& view, std::optional<time_point> asked_at, error& reason);
+    /// Reports of all instances with their ages at `now`.
+    [[nodiscard]] nlohmann::json to_json(time_point now) const;
+
+    [[nodiscard]] const group_configuration& configuration() const { return configuration_; }
+    [[nodiscard]] const position_tracker& positions() const { return positions_; }
+    [[nodiscard]] position_tracker& positions() { return positions_; }
+    [[nodiscard]] const staleness_tracker& staleness() const { return staleness_; }
+    /// Upper bound of the age of data at a log position; nothing when unknown.
+    [[nodiscard]] std::optional<duration> age(log_position position, time_point now) const;
+
+private:
+    group_configuration configuration_;
+    position_tracker positions_;
+    staleness_tracker staleness_;
+};
+
+/// JSON form of a report as exchanged between daemons; the age is rounded up.
+[[nodiscard]] nlohmann::json to_json(const instance_report& report, time_point now);
+/// Report read from its JSON form; `path` names it in errors. sent_at is `asked_at` minus the age, or the
+/// earliest time when either is missing. Errors: those of object_reader.
+[[nodiscard]] std::optional<instance_report> report_from_json(const nlohmann::json& value,
+                                                              const std::string& path,
+                                                              std::optional<time_point> asked_at,
+                                                              error& reason);
+
+} // namespace gentianhill
--- a/gentianhill/consistency/instance_report.h
+++ b/gentianhill/consistency/instance_report.h
@@ -25,6 +25,10 @@
     bool leaving = false;
     /// Name of the instance that it follows or is; empty when it has none.
     std::string primary;
+    /// Identity of the instance's state, chosen when it starts empty and kept with its log; a different one
+    /// means that the earlier state, with its entries and accepted term, was lost. Empty when the database
+    /// has none.
+    std::string state_id;
     /// When the request that brought this answer was sent; the report is at least this new.
     time_point sent_at;
     /// When the answer arrived.
--- /dev/null
+++ b/gentianhill/promotion/failure_detector.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "gentianhill/consistency/log_position.h"
+#include "gentianhill/core/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gentianhill {
+
+/// Limits of a failure_detector. They hold with a probe every `probe_interval` while no other answers arrive.
+struct failure_detector_settings {
+    /// Longest time between two requests to the primary of which the caller reports the results.
+    duration probe_interval = std::chrono::milliseconds{100};
+    /// Refusals in a row, without an answer between them, that make a crash.
+    std::size_t refused_count = 2;
+    /// Shortest time from the first to the last of these refusals.
+    duration refused_span = std::chrono::milliseconds{80};
+    /// Time without any answer while a request waits. A pause of 500 ms and a TCP retransmission after 200 ms
+    /// must pass, so 700 ms is the lower bound.
+    duration silence_limit = std::chrono::milliseconds{800};
+    /// Time without any executed write while a write waits.
+    duration commit_limit = std::chrono::milliseconds{1200};
+    /// Time without majority progress while an executed write waits for confirmation. Replication lag spikes
+    /// must pass, so it is longer than the other limits.
+    duration confirm_limit = std::chrono::milliseconds{2500};
+    /// Time without any primary in the highest term.
+    duration no_primary_limit = std::chrono::seconds{1};
+    /// No suspicion for this long after a change of primary, except for refused connections.
+    duration hysteresis = std::chrono::seconds{2};
+    /// A gap of the event loop longer than this discards all evidence.
+    duration loop_gap_limit = std::chrono::milliseconds{500};
+};
+
+/// State of the primary as seen by this daemon.
+enum class primary_health : std::uint8_t { unknown, healthy, suspected };
+/// Evidence behind a suspicion.
+enum class suspicion_reason : std::uint8_t {
+    none,
+    connection_refused,
+    silent,
+    not_committing,
+    not_confirming,
+    no_primary,
+};
+/// Name of a health as it appears in logs.
+[[nodiscard]] std::string_view to_string(primary_health health);
+/// Name of a reason as it appears in logs.
+[[nodiscard]] std::string_view to_string(suspicion_reason reason);
+
+/// Result of a failure_detector.
+struct primary_assessment {
+    primary_health health = primary_health::unknown;
+    suspicion_reason reason = suspicion_reason::none;
+};
+
+/// Decides whether the primary of one database group is suspected to have failed.
+class failure_detector {
+public:
+    explicit failure_detector(const failure_detector_settings& settings);
+
+    /// Sets the primary and its term; a change discards all evidence and starts the hysteresis.
+    void observe_primary(const std::optional<std::string>& instance, term_number term, time_point now);
+    /// A request was sent to the primary.
+    void on_sent(time_point now);
+    /// The primary answered anything, also an error or a probe.
+    void on_answer(time_point now);
+    /// A connection to the primary was refused.
+    void on_refused(time_point now);
+    /// A request failed without an answer: timed out or connection lost. It is no evidence by itself; the
+    /// silence counts from the first request without an answer.
+    void on_no_answer(time_point now);
+    /// A write was sent to the primary.
+    void on_write_sent(time_point now);
+    /// The primary executed a write or a commit; it now waits for confirmation.
+    void on_write_executed(time_point now);
+    /// The primary rejected a write, or the write failed without an answer; `waiting` writes are left.
+    void on_write_ended(std::size_t waiting, time_point now);
+    /// The confirmed position advanced; `all_confirmed` when no executed write waits any more.
+    void on_confirm_progress(bool all_confirmed, time_point now);
+    /// The event loop did not run for `gap`. Time during which this process could not receive answers is not
+    /// counted against the primary; a gap above loop_gap_limit discards all evidence.
+    void observe_loop_gap(duration gap);
+
+    [[nodiscard]] primary_assessment assessment(time_point now) const;
+    /// True when a write was confirmed within `window`; the opinion given to peers.
+    [[nodiscard]] bool saw_confirmed_write(duration window, time_point now) const;
+
+private:
+    void discard();
+
+    failure_detector_settings settings_;
+    std::optional<std::string> primary_;
+    term_number term_ = 0;
+    std::optional<time_point> changed_at_;
+    std::optional<time_point> without_primary_since_;
+    bool answered_ = false;
+    std::optional<time_point> unanswered_since_;
+    std::size_t refusals_ = 0;
+    time_point first_refusal_;
+    time_point last_refusal_;
+    std::optional<time_point> uncommitted_since_;
+    std::optional<time_point> unconfirmed_since_;
+    std::optional<time_point> last_confirmation_;
+};
+
+} // namespace gentianhill
