Implement confirmation, ages and the promotion decisions

Cause: the daemon needs to know which entries are confirmed, how old the data of an instance is, when its primary has failed and how to replace it.

Ruled out: joining reports of one accepted term by the newest answer alone, since answers overtake each other; a majority time per term that one instance can move; a promotion that starts to fence before a majority of instances has answered, which leaves a minority at a term without a primary (an instance so fenced rejects its old primary until the next promotion).

--- a/gentianhill/consistency/group_view.h
+++ b/gentianhill/consistency/group_view.h
@@ -32,7 +32,7 @@
     /// answered with the view, nothing when it was not asked for. Returns false and changes nothing on a
     /// malformed view. Errors: those of object_reader; unknown_group for another group. Unknown instances are
     /// skipped.
-    bool merge(const nlohmann::json& view, std::optional<time_point> asked_at, error& reason);
+    bool merge(const nlohmann::json& view, std::optional<time_point> asked_at, time_point now, error& reason);
     /// Reports of all instances with their ages at `now`.
     [[nodiscard]] nlohmann::json to_json(time_point now) const;
 
@@ -44,12 +44,14 @@
     [[nodiscard]] std::optional<duration> age(log_position position, time_point now) const;
 
 private:
+    void update_staleness(const instance_report& report);
+
     group_configuration configuration_;
     position_tracker positions_;
     staleness_tracker staleness_;
 };
 
-/// JSON form of a report as exchanged between daemons; the age is rounded up.
+/// JSON form of a report as exchanged between daemons, with its age in microseconds when it is known.
 [[nodiscard]] nlohmann::json to_json(const instance_report& report, time_point now);
 /// Report read from its JSON form; `path` names it in errors. sent_at is `asked_at` minus the age, or the
 /// earliest time when either is missing. Errors: those of object_reader.
--- a/gentianhill/consistency/position_tracker.h
+++ b/gentianhill/consistency/position_tracker.h
@@ -32,7 +32,9 @@
 
     /// Takes in one report; returns false when it was ignored: unknown instance, older term than the instance
     /// already accepted, or sent before a loss of state was known.
-    bool apply(const instance_report& report);
+    bool apply(const instance_report& report) { return apply(report, true); }
+    /// The same for a report relayed by a peer, which says nothing about reachability from here.
+    bool apply_relayed(const instance_report& report) { return apply(report, false); }
 
     /// Highest accepted term that any initialised instance reported; 0 when none.
     [[nodiscard]] term_number current_term() const;
@@ -66,31 +68,45 @@
 
     /// Newest report of an instance, or null. Within a term, positions never go back.
     [[nodiscard]] const instance_report* report_of(const std::string& instance) const;
+    /// When the loss of the instance's current state became known here; nothing while it is initialised or
+    /// unknown.
+    [[nodiscard]] std::optional<time_point> loss_known_at(const std::string& instance) const;
     /// Instances with a direct answer within reachable_limit.
     [[nodiscard]] std::vector<std::string> reachable(time_point now) const;
-    /// Names of all members.
-    [[nodiscard]] const std::vector<std::string>& members() const { return members_; }
     /// Smallest number of members that is more than half of them.
     [[nodiscard]] std::size_t majority() const { return members_.size() / 2 + 1; }
 
 private:
-    // Confirmed part of one term: entries [start, highest].
+    // One member of the group.
+    struct member {
+        std::string name;
+        std::optional<instance_report> report;
+        std::optional<time_point> answered_at;
+        std::optional<time_point> loss_known_at;
+    };
+    struct known_primary {
+        const member* instance = nullptr;
+        term_number term = 0;
+    };
+    // Confirmed part of one term: entries [start, highest]; start is 0 while it is unknown.
     struct confirmed_term {
         term_number term = 0;
         std::uint64_t start = 0;
         std::uint64_t highest = 0;
     };
 
-    [[nodiscard]] std::optional<std::size_t> index_of(const std::string& instance) const;
-    [[nodiscard]] bool is_newer(const instance_report& known, const instance_report& report) const;
-    [[nodiscard]] std::optional<std::size_t> primary_index() const;
+    bool apply(const instance_report& report, bool direct);
+    static bool apply_loss(member& target, const instance_report& report);
+    [[nodiscard]] static bool is_current(const member& target, const instance_report& report);
+    [[nodiscard]] const member* find(const std::string& instance) const;
+    [[nodiscard]] known_primary find_primary() const;
     void update_confirmed(time_point now);
-    void record_confirmed(const confirmed_term& found);
+    void record_confirmed(const confirmed_term& found, time_point now);
 
     position_tracker_settings settings_;
-    std::vector<std::string> members_;
-    std::vector<std::optional<instance_report>> reports_;
+    std::vector<member> members_;
     log_position confirmed_;
+    // Ascending in term; the oldest are dropped beyond history_limit.
     std::vector<confirmed_term> history_;
     log_position waiting_write_;
     std::optional<time_point> waiting_since_;
--- a/gentianhill/promotion/failure_detector.h
+++ b/gentianhill/promotion/failure_detector.h
@@ -22,8 +22,10 @@
     /// Time without any answer while a request waits. A pause of 500 ms and a TCP retransmission after 200 ms
     /// must pass, so 700 ms is the lower bound.
     duration silence_limit = std::chrono::milliseconds{800};
-    /// Time without any executed write while a write waits.
+    /// Time without any answer to a write while writes are sent.
     duration commit_limit = std::chrono::milliseconds{1200};
+    /// Fewest writes without an answer that count; one alone may have lost its connection.
+    std::size_t unanswered_writes = 2;
     /// Time without majority progress while an executed write waits for confirmation. Replication lag spikes
     /// must pass, so it is longer than the other limits.
     duration confirm_limit = std::chrono::milliseconds{2500};
@@ -31,6 +33,8 @@
     duration no_primary_limit = std::chrono::seconds{1};
     /// No suspicion for this long after a change of primary, except for refused connections.
     duration hysteresis = std::chrono::seconds{2};
+    /// A write confirmed this recently is vouched for to peers. Shorter than the time to suspect silence.
+    duration opinion_window = std::chrono::milliseconds{300};
     /// A gap of the event loop longer than this discards all evidence.
     duration loop_gap_limit = std::chrono::milliseconds{500};
 };
@@ -73,12 +77,15 @@
     /// A request failed without an answer: timed out or connection lost. It is no evidence by itself; the
     /// silence counts from the first request without an answer.
     void on_no_answer(time_point now);
-    /// A write was sent to the primary.
+    /// A write was sent to the primary; each is followed by exactly one of the next three. Writes that may
+    /// wait for locks of an open transaction must not be reported.
     void on_write_sent(time_point now);
-    /// The primary executed a write or a commit; it now waits for confirmation.
+    /// The primary executed the write; it now waits for confirmation.
     void on_write_executed(time_point now);
-    /// The primary rejected a write, or the write failed without an answer; `waiting` writes are left.
-    void on_write_ended(std::size_t waiting, time_point now);
+    /// The primary answered the write with an error.
+    void on_write_rejected(time_point now);
+    /// The write timed out or its connection was lost.
+    void on_write_unanswered(time_point now);
     /// The confirmed position advanced; `all_confirmed` when no executed write waits any more.
     void on_confirm_progress(bool all_confirmed, time_point now);
     /// The event loop did not run for `gap`. Time during which this process could not receive answers is not
@@ -86,11 +93,14 @@
     void observe_loop_gap(duration gap);
 
     [[nodiscard]] primary_assessment assessment(time_point now) const;
-    /// True when a write was confirmed within `window`; the opinion given to peers.
-    [[nodiscard]] bool saw_confirmed_write(duration window, time_point now) const;
+    /// True when a write was confirmed within opinion_window and the primary is not suspected here; the
+    /// opinion given to peers.
+    [[nodiscard]] bool saw_confirmed_write(time_point now) const;
 
 private:
     void discard();
+    void on_write_answered(time_point now);
+    [[nodiscard]] suspicion_reason find_suspicion(time_point now) const;
 
     failure_detector_settings settings_;
     std::optional<std::string> primary_;
@@ -102,6 +112,9 @@
     std::size_t refusals_ = 0;
     time_point first_refusal_;
     time_point last_refusal_;
+    std::size_t waiting_writes_ = 0;
+    std::size_t writes_since_answer_ = 0;
+    time_point last_write_sent_;
     std::optional<time_point> uncommitted_since_;
     std::optional<time_point> unconfirmed_since_;
     std::optional<time_point> last_confirmation_;
--- a/gentianhill/promotion/promotion.h
+++ b/gentianhill/promotion/promotion.h
@@ -21,8 +21,10 @@
     duration ask_timeout = std::chrono::milliseconds{300};
     /// Additional wait per rank, so that the first coordinator normally acts alone.
     duration rank_delay = std::chrono::seconds{1};
-    /// A request to an instance is sent again after this long without an answer.
+    /// A fence, promote or follow request is sent again after this long without an answer.
     duration resend_after = std::chrono::milliseconds{500};
+    /// The second round of fencing starts again after this long without a majority of matching answers.
+    duration check_limit = std::chrono::milliseconds{200};
     /// Longest time of the fencing and checking phases together.
     duration fence_limit = std::chrono::milliseconds{2000};
     /// Longest time of the promoting phase.
@@ -77,7 +79,7 @@
     std::optional<time_point> fenced;
     /// The new primary answered.
     std::optional<time_point> promoted;
-    /// The first write of the new term was confirmed.
+    /// The first entry of the new term was confirmed; from then on writes of callers are.
     std::optional<time_point> confirmed;
 };
 
@@ -163,22 +165,21 @@
         std::string name;
         bool answered = false;
         std::optional<instance_report> fenced;
+        // True when its fence answer had arrived before the current round of checks began.
+        bool in_round = false;
         std::optional<instance_report> checked;
-        time_point last_sent;
     };
 
     [[nodiscard]] member* find(const std::string& instance);
-    [[nodiscard]] std::size_t fenced_count() const;
-    [[nodiscard]] std::size_t checked_count() const;
     void enter(promotion_phase next, time_point now);
     void finish(promotion_failure failure, time_point now);
-    void advance_asking(time_point now);
+    void end_asking(time_point now);
     void begin_fencing(time_point now);
     void begin_checking(time_point now);
-    void check_answer(member& target, const instance_report& report, time_point now);
+    void take_check(member& target, const instance_report& report, time_point now);
     void begin_promoting(time_point now);
     void begin_following(time_point now);
-    void resend(time_point now);
+    void send_requests();
     void end_overdue(time_point now);
 
     group_configuration configuration_;
@@ -186,6 +187,7 @@
     promotion_hooks hooks_;
     promotion_phase phase_ = promotion_phase::idle;
     time_point phase_since_;
+    time_point last_sent_;
     std::vector<member> members_;
     term_number base_term_ = 0;
     term_number highest_seen_ = 0;
--- /dev/null
+++ b/gentianhill/promotion/reconciler.cpp
@@ -0,0 +1,54 @@
+#include "gentianhill/promotion/reconciler.h"
+
+#include <optional>
+
+namespace gentianhill {
+
+namespace {
+
+// True when a majority, not counting the instance, was at the term after its loss of state was known here.
+bool may_admit(const position_tracker& positions, const std::string& instance, term_number term) {
+    const std::optional<time_point> lost_at = positions.loss_known_at(instance);
+    return lost_at && positions.current_term() == term &&
+           positions.count_at_term(term, *lost_at, instance) >= positions.majority();
+}
+
+} // namespace
+
+reconciliation reconcile(const group_view& view) {
+    reconciliation result;
+    const position_tracker& positions = view.positions();
+    const std::optional<std::string> primary = positions.primary();
+    const term_number term = positions.primary_term();
+    const instance_configuration* primary_configuration =
+        primary ? view.configuration().find(*primary) : nullptr;
+    if (primary_configuration == nullptr) {
+        return result;
+    }
+
+    for (const instance_configuration& instance : view.configuration().instances) {
+        const instance_report* report = positions.report_of(instance.name);
+        if (instance.name == *primary || report == nullptr) {
+            continue;
+        }
+        follow_order order{instance.name,   term, *primary, primary_configuration->address, false,
+                           report->state_id};
+        if (!report->initialised) {
+            // Without the right to admit it, it may still follow, so that it catches up in the meantime.
+            order.admit = may_admit(positions, instance.name, term);
+            if (!order.admit) {
+                result.waiting_for_admission.push_back(instance.name);
+            }
+            if (order.admit || report->accepted_term < term || report->primary != *primary) {
+                result.orders.push_back(order);
+            }
+        } else if (report->accepted_term > term) {
+            result.ahead_of_primary.push_back(instance.name);
+        } else if (report->accepted_term < term || report->primary != *primary) {
+            result.orders.push_back(order);
+        }
+    }
+    return result;
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/tests/consistency/group_view_tests.cpp
@@ -0,0 +1,71 @@
+#include "gentianhill/consistency/group_view.h"
+
+#include <doctest/doctest.h>
+
+using namespace gentianhill;
+
+namespace {
+
+struct view_fixture {
+    group_configuration configuration{"wheeldb",
+                                      {{"a", {"127.0.0.1", 1}, "kyushu-a", 35, 5},
+                                       {"b", {"127.0.0.1", 2}, "kyushu-b", 35, 5},
+                                       {"c", {"127.0.0.1", 3}, "kyushu-c", 35, 5}}};
+    group_view view{configuration, {}, {}};
+    group_view peer{configuration, {}, {}};
+    error reason;
+
+    static time_point at(int milliseconds) { return time_point{} + std::chrono::milliseconds{milliseconds}; }
+
+    void peer_hears(const std::string& instance, log_position last, int sent_ms) {
+        instance_report report;
+        report.instance = instance;
+        report.accepted_term = 1;
+        report.last = last;
+        report.is_primary = instance == "a";
+        report.sent_at = at(sent_ms);
+        report.received_at = at(sent_ms);
+        peer.apply(report);
+    }
+};
+
+} // namespace
+
+// Guards against a relayed report that looks newer than it is: the peer's clock is 5 s ahead of ours, its
+// newest report is 40 ms old when it answers, and our request to it was sent at 1000.
+TEST_CASE_FIXTURE(view_fixture, "group_view_merged_report_is_dated_from_the_request_not_the_arrival") {
+    peer_hears("a", {1, 9}, 6000);
+    peer_hears("b", {1, 9}, 6010);
+    REQUIRE(view.merge(peer.to_json(at(6040)), at(1000), at(1300), reason));
+    CHECK(view.positions().confirmed() == log_position{1, 9});
+    CHECK(view.positions().report_of("b")->sent_at == at(970));
+    CHECK(view.age({1, 9}, at(1300)) == std::chrono::milliseconds{340});
+    CHECK(view.positions().reachable(at(1300)).empty());
+}
+
+// Guards against ages, or admission times, from a view that was not asked for and may be arbitrarily old.
+TEST_CASE_FIXTURE(view_fixture, "group_view_pushed_view_confirms_but_gives_no_age") {
+    peer_hears("a", {1, 9}, 6000);
+    peer_hears("b", {1, 9}, 6010);
+    REQUIRE(view.merge(peer.to_json(at(6040)), std::nullopt, at(1300), reason));
+    CHECK(view.positions().confirmed() == log_position{1, 9});
+    CHECK_FALSE(view.age({1, 9}, at(1300)).has_value());
+    CHECK(view.positions().count_at_term(1, at(0), "") == 0);
+    CHECK(view.to_json(at(1300))["reports"][0].contains("age_us") == false);
+}
+
+// Guards against a malformed view that is applied in part.
+TEST_CASE_FIXTURE(view_fixture, "group_view_malformed_view_changes_nothing") {
+    peer_hears("a", {1, 9}, 10);
+    peer_hears("b", {1, 9}, 10);
+    nlohmann::json json = peer.to_json(at(20));
+    json["reports"][1]["position"] = -1;
+    CHECK_FALSE(view.merge(json, at(0), at(30), reason));
+    CHECK(reason.field == "view.reports[1].position");
+    CHECK(view.positions().report_of("a") == nullptr);
+    json["group"] = "orders-db";
+    json["reports"] = nlohmann::json::array();
+    reason = error{};
+    CHECK_FALSE(view.merge(json, at(0), at(30), reason));
+    CHECK(reason.code == error_code::unknown_group);
+}
