--- a/gentianhill/promotion/failure_detector.h
+++ b/gentianhill/promotion/failure_detector.h
@@ -26,9 +26,9 @@
     duration commit_limit = std::chrono::milliseconds{1200};
     /// Fewest writes without an answer that count; one alone may have lost its connection.
     std::size_t unanswered_writes = 2;
-    /// Time without majority progress while an executed write waits for confirmation. Replication lag spikes
-    /// must pass, so it is longer than the other limits.
-    duration confirm_limit = std::chrono::milliseconds{2500};
+    /// Time without majority progress while an executed write waits for confirmation. A replication lag spike
+    /// of 2 s that ends in a pause of 700 ms must pass; 2.5 s was too short for it.
+    duration confirm_limit = std::chrono::milliseconds{3000};
     /// Time without any primary in the highest term.
     duration no_primary_limit = std::chrono::seconds{1};
     /// No suspicion for this long after a change of primary, except for refused connections.
