--- a/gentianhill/core/merged_timeline.cpp
+++ b/gentianhill/core/merged_timeline.cpp
@@ -145,6 +145,7 @@
 
 std::optional<merged_timeline> merged_timeline::merge(const std::vector<nlohmann::json>& exports,
                                                       error& reason) {
+    reason = {};
     event_map events;
     std::map<process_key, process_range> ranges;
     for (std::size_t index = 0; index < exports.size(); ++index) {
--- a/gentianhill/core/timeline_event.cpp
+++ b/gentianhill/core/timeline_event.cpp
@@ -147,6 +147,7 @@
 
 std::optional<timeline_event> timeline_event::from_json(const nlohmann::json& value, const std::string& path,
                                                         error& reason) {
+    reason = {};
     object_reader reader{value, path, reason};
     timeline_event result;
     const std::string id_text = reader.text("id");
--- a/gentianhill/tickets/ticket_schema.h
+++ b/gentianhill/tickets/ticket_schema.h
@@ -18,6 +18,9 @@
 inline constexpr std::size_t max_ticket_bytes = 1'000'000;
 /// Largest ticket number; larger ones are not exact in JSON tools that use floating point.
 inline constexpr ticket_number max_ticket_number = (ticket_number{1} << 53U) - 1;
+/// Largest step from the highest number in effect. A mistyped number near the maximum would leave no higher
+/// number for later tickets.
+inline constexpr ticket_number max_number_step = 1'000'000;
 
 /// Reads and checks a ticket as a whole; nothing is used of one that is refused.
 /// Errors: those of parse_json and object_reader, with the path of the offending field; bad_value for
@@ -31,8 +34,9 @@
                                                               const std::string& path, error& reason);
 
 /// Checks a valid ticket against the view in effect before it is created.
-/// Errors: superseded (all its subjects have higher tickets), bad_value (an address belongs to another group,
-/// or a group changes more than one instance: majorities before and after would not overlap).
+/// Errors: superseded (all its subjects have higher tickets), out_of_range (max_number_step), bad_value (an
+/// address belongs to another group, or a group changes more than one instance: majorities before and after
+/// would not overlap).
 [[nodiscard]] bool check_ticket(const ticket& checked, const ticket_state& view, error& reason);
 
 /// What is allowed and probably not meant, one sentence each.
