--- a/gentianhill_cli/view_commands.cpp
+++ b/gentianhill_cli/view_commands.cpp
@@ -56,17 +56,20 @@
 }
 
 std::string render_groups(const std::vector<daemon_reply>& replies) {
-    text_table groups{{"daemon", "group", "term", "primary", "health", "confirmed", "writes", "waiting"}};
+    text_table groups{{"daemon", "group", "term", "primary", "health", "confirmed", "writes", "waiting",
+                       "claims", "attempt"}};
     text_table instances{{"daemon", "group", "instance", "zone", "role", "term", "position", "age_ms",
                           "reachable", "leaving", "load"}};
     for (const daemon_reply& reply : replies) {
         const std::string daemon = reply.daemon.to_string();
         for (const nlohmann::json& group : *reply.value) {
             const nlohmann::json& confirmed = member(group, "confirmed");
+            const nlohmann::json& coordination = member(group, "coordination");
             groups.add({daemon, cell(group, "group"), cell(group, "term"), cell(group, "primary"),
                         cell(group, "primary_health"),
                         cell(confirmed, "term") + ":" + cell(confirmed, "position"),
-                        cell(group, "accepts_writes"), cell(group, "waiting")});
+                        cell(group, "accepts_writes"), cell(group, "waiting"), cell(coordination, "claims"),
+                        cell(coordination, "phase")});
             for (const nlohmann::json& instance : member(group, "instances")) {
                 instances.add({daemon, cell(group, "group"), cell(instance, "instance"),
                                cell(instance, "zone"), cell(instance, "role"),
--- a/tests/core/timeline_tests.cpp
+++ b/tests/core/timeline_tests.cpp
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <fstream>
+#include <sstream>
+
 using namespace gentianhill;
 
 namespace {
@@ -99,3 +102,16 @@
     CHECK_FALSE(merged_timeline::merge({exported}, reason));
     CHECK(reason.field == "exports[0].events[0].at");
 }
+
+// Guards against event kinds that operators cannot look up.
+TEST_CASE("event_kinds_are_all_named_and_in_the_glossary") {
+    std::ifstream file{GENTIANHILL_SOURCE_DIR "/docs/glossary.md"};
+    std::ostringstream text;
+    text << file.rdbuf();
+    for (int value = 0; value <= static_cast<int>(event_kind::other); ++value) {
+        const event_kind kind = static_cast<event_kind>(value);
+        CAPTURE(to_string(kind));
+        CHECK(event_kind_from(to_string(kind)) == kind);
+        CHECK(text.str().find("`" + std::string{to_string(kind)} + "`") != std::string::npos);
+    }
+}
