Wait for a ticket to take effect; describe the tool

Cause: scripts that change one instance at a time must not submit the next ticket before all daemons have applied the first.

Conclusion: exit code 4 tells that a ticket is not in effect everywhere.

--- a/gentianhill_cli/ticket_commands.cpp
+++ b/gentianhill_cli/ticket_commands.cpp
@@ -5,6 +5,7 @@
 #include "gentianhill_cli/input_file.h"
 #include "gentianhill_cli/text_table.h"
 
+#include <boost/program_options.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -16,6 +17,9 @@
 
 using option_values = boost::program_options::variables_map;
 
+constexpr std::int64_t max_wait_s = 600;
+constexpr duration status_interval = std::chrono::milliseconds{200};
+
 exit_code submit(tool_context& context, const std::vector<std::string>& positional,
                  const option_values& /*options*/) {
     // Check the file here, so that a mistake is found without a daemon.
@@ -96,28 +100,58 @@
     return exit_code::success;
 }
 
-exit_code status(tool_context& context, const std::vector<std::string>& positional,
-                 const option_values& /*options*/) {
-    daemon_client client{context};
-    const daemon_reply reply = client.call_first({"GET", "tickets/" + positional[0] + "/status", ""});
-    if (!reply.value) {
-        return client.report_failure(reply);
-    }
-    if (context.json) {
-        context.out << pretty(*reply.value);
-        return exit_code::success;
-    }
+// True when every daemon that the answer names has applied the ticket.
+bool is_applied_everywhere(const nlohmann::json& status) {
+    const nlohmann::json applied =
+        status.is_object() ? status.value("applied", nlohmann::json::object()) : nlohmann::json::object();
+    return !applied.empty() && std::all_of(applied.begin(), applied.end(), [](const nlohmann::json& daemon) {
+        return daemon == nlohmann::json(true);
+    });
+}
+
+std::string render_status(const nlohmann::json& status) {
     text_table subjects{{"subject", "in effect", "superseded by"}};
-    const nlohmann::json listed = reply.value->value("subjects", nlohmann::json::object());
+    const nlohmann::json listed = status.value("subjects", nlohmann::json::object());
     for (nlohmann::json::const_iterator subject = listed.begin(); subject != listed.end(); ++subject) {
         subjects.add({subject.key(), cell(*subject, "in_effect"), cell(*subject, "superseded_by")});
     }
     text_table daemons{{"daemon", "applied"}};
-    const nlohmann::json applied = reply.value->value("applied", nlohmann::json::object());
+    const nlohmann::json applied = status.value("applied", nlohmann::json::object());
     for (nlohmann::json::const_iterator daemon = applied.begin(); daemon != applied.end(); ++daemon) {
         daemons.add({daemon.key(), *daemon == nlohmann::json(true) ? "yes" : "no"});
     }
-    context.out << subjects.to_string() << '\n' << daemons.to_string();
+    return subjects.to_string() + '\n' + daemons.to_string();
+}
+
+exit_code status(tool_context& context, const std::vector<std::string>& positional,
+                 const option_values& options) {
+    const std::int64_t wait_s = options["wait"].as<std::int64_t>();
+    if (wait_s < 0 || wait_s > max_wait_s) {
+        context.errors << fmt::format("gentianhill: --wait {} is not allowed\n  next: give 0 to {} seconds\n",
+                                      wait_s, max_wait_s);
+        return exit_code::usage;
+    }
+    const time_point end = event_loop::now() + std::chrono::seconds{wait_s};
+    daemon_client client{context};
+    daemon_reply reply;
+    while (true) {
+        reply = client.call_first({"GET", "tickets/" + positional[0] + "/status", ""});
+        if (!reply.value) {
+            return client.report_failure(reply);
+        }
+        if (is_applied_everywhere(*reply.value) || event_loop::now() >= end) {
+            break;
+        }
+        context.loop.run_until([] { return false; }, status_interval);
+    }
+    context.out << (context.json || !reply.value->is_object() ? pretty(*reply.value)
+                                                              : render_status(*reply.value));
+    if (wait_s > 0 && !is_applied_everywhere(*reply.value)) {
+        context.errors << fmt::format("gentianhill: ticket {} is not in effect on all daemons after {} s\n"
+                                      "  next: see docs/operators/stuck-ticket.md\n",
+                                      positional[0], wait_s);
+        return exit_code::partial;
+    }
     return exit_code::success;
 }
 
@@ -135,12 +169,17 @@
 } // namespace
 
 std::vector<command> ticket_commands() {
+    command status_command =
+        make_command("ticket status", "NUMBER", 1,
+                     "Which daemons have applied a ticket and which tickets took precedence.", &status);
+    status_command.options.add_options()(
+        "wait", boost::program_options::value<std::int64_t>()->default_value(0),
+        "wait up to SECONDS until all daemons have applied it; exit code 4 if they have not");
     return {
         make_command("ticket submit", "FILE", 1, "Checks a ticket and stores it under its number.", &submit),
         make_command("ticket show", "NUMBER", 1, "Prints a ticket as stored.", &show),
         make_command("ticket list", "", 0, "Subjects in effect with their tickets.", &list),
-        make_command("ticket status", "NUMBER", 1,
-                     "Which daemons have applied a ticket and which tickets took precedence.", &status),
+        status_command,
     };
 }
 
--- a/tests/cli/tool_tests.cpp
+++ b/tests/cli/tool_tests.cpp
@@ -18,6 +18,7 @@
     operator_endpoint operators;
     timeline events;
     ticket_state view;
+    int status_calls = 0;
 
     stub_daemon(event_loop& loop, const std::string& name)
         : operators(loop, endpoint{"127.0.0.1", 0}), events(timeline_settings{name, 1, 4, 64, 8}) {
@@ -44,6 +45,12 @@
                                      const operator_answer& answer) {
             answer(nlohmann::json{{"status", key}}, {});
         };
+        operators.hooks.ticket_status = [this](ticket_number number, const operator_answer& answer) {
+            ++status_calls;
+            answer(nlohmann::json{{"number", number},
+                                  {"applied", {{"entry-1", true}, {"entry-2", status_calls > 2}}}},
+                   {});
+        };
         operators.hooks.drain = [](error& /*reason*/) { return true; };
         error reason;
         REQUIRE(operators.listen(reason));
@@ -104,9 +111,13 @@
 TEST_CASE_FIXTURE(tool_fixture, "tool_help_exists_for_each_command") {
     CHECK(run({"--help"}) == exit_code::success);
     const std::string overview = out.str();
+    std::ifstream file{GENTIANHILL_SOURCE_DIR "/docs/command-line.md"};
+    std::ostringstream page;
+    page << file.rdbuf();
     for (const command& item : tool_commands()) {
         CAPTURE(item.name);
         CHECK(overview.find(item.name) != std::string::npos);
+        CHECK(page.str().find("| `" + item.name) != std::string::npos);
         std::vector<std::string> arguments;
         std::istringstream words{item.name};
         for (std::string word; words >> word;) {
@@ -202,3 +213,17 @@
     CHECK(run({"report", "cli_tests_report.html"}) == exit_code::success);
     CHECK(run({"report", "/nonexistent/report.html"}) == exit_code::usage);
 }
+
+// Guards against scripts that go on before a ticket is in effect on all daemons.
+TEST_CASE_FIXTURE(tool_fixture, "tool_ticket_status_waits_until_all_daemons_have_applied_it") {
+    CHECK(run({"ticket", "status", "1"}) == exit_code::success);
+    CHECK(printed("entry-2  no"));
+    CHECK(run({"ticket", "status", "1", "--wait", "30"}) == exit_code::success);
+    CHECK(printed("entry-2  yes"));
+    CHECK(first.status_calls == 3);
+    CHECK(run({"ticket", "status", "1", "--wait", "601"}) == exit_code::usage);
+    first.operators.hooks.ticket_status = [](ticket_number /*number*/, const operator_answer& answer) {
+        answer(nlohmann::json{{"applied", {{"entry-1", false}}}}, {});
+    };
+    CHECK(run({"ticket", "status", "1", "--wait", "1"}) == exit_code::partial);
+}
