Accept a list of peers that holds the daemon itself

Cause: scripts/demo gives all daemons one list of peers; each daemon refused it and exited, since the list named the daemon itself.

Ruled out: different lists per daemon, which deployments would have to generate.

Change: a daemon leaves itself out of the list; an entry with its name and another zone or port is still refused.

Conclusion: one list serves all daemons of a deployment.

--- a/gentianhill/core/daemon_settings.cpp
+++ b/gentianhill/core/daemon_settings.cpp
@@ -61,7 +61,8 @@
     setting_definition peers;
     peers.name = "peers";
     peers.type = setting_type::peer_list;
-    peers.help = "All other daemons of the deployment with their zones and peer addresses.";
+    peers.help =
+        "All daemons of the deployment with their zones and peer addresses; the daemon itself may be listed.";
     setting_definition level;
     level.name = "log_level";
     level.type = setting_type::choice;
@@ -158,16 +159,27 @@
     return true;
 }
 
-bool check_peers(const daemon_settings& settings, const setting_values& values, error& reason) {
-    std::set<std::string> names{settings.name};
-    std::set<endpoint> addresses{settings.peer_listen};
-    for (const peer_setting& peer : settings.peers) {
-        if (!names.insert(peer.name).second || !addresses.insert(peer.address).second) {
+// Leaves out this daemon itself, so that all daemons can have the same list, and refuses duplicates.
+bool take_peers(std::vector<peer_setting> listed, const setting_values& values, daemon_settings& settings,
+                error& reason) {
+    std::set<std::string> names;
+    std::set<endpoint> addresses;
+    for (peer_setting& peer : listed) {
+        const bool is_self = peer.name == settings.name;
+        // The daemon may listen on all addresses of its host, so only zone and port can be compared.
+        const bool is_consistent =
+            !is_self || (peer.zone == settings.zone && peer.address.port == settings.peer_listen.port);
+        const bool is_other = is_self || peer.address != settings.peer_listen;
+        if (!is_consistent || !is_other || !names.insert(peer.name).second ||
+            !addresses.insert(peer.address).second) {
             reason = error{error_code::bad_value, values.origin("peers"),
                            fmt::format("{}={}@{}", peer.name, peer.zone, peer.address.to_string()),
-                           "each name and address once, without this daemon itself"};
+                           "each name and address once; this daemon itself only with its own zone and port"};
             return false;
         }
+        if (!is_self) {
+            settings.peers.push_back(std::move(peer));
+        }
     }
     return true;
 }
@@ -190,7 +202,7 @@
                        "a key other than token_key, or none"};
         return false;
     }
-    return check_addresses(settings, values, reason) && check_peers(settings, values, reason);
+    return check_addresses(settings, values, reason);
 }
 
 } // namespace
@@ -228,10 +240,9 @@
     result.platform = read_address(values, "platform");
     std::optional<std::vector<peer_setting>> peers =
         peer_setting::parse_list(values.text("peers"), values.origin("peers"), reason);
-    if (!peers) {
+    if (!peers || !take_peers(std::move(*peers), values, result, reason)) {
         return std::nullopt;
     }
-    result.peers = std::move(*peers);
     result.token_key = values.text("token_key");
     result.token_previous_key = values.text("token_previous_key");
     // Times and limits.
