Show a lost primary as former and refuse malformed answers

Cause: a trial of scripts/demo showed two instances with role primary after a failover, one of them unreachable; an entry without a number in the answer to `ticket list` would have ended the tool by an assertion.

--- a/gentianhill_cli/ticket_commands.cpp
+++ b/gentianhill_cli/ticket_commands.cpp
@@ -92,8 +92,10 @@
         constexpr std::size_t shown_bytes = 80;
         table.add({subject.key(), cell(*subject, "number"),
                    state.is_null() ? "removed" : cell_text(state).substr(0, shown_bytes)});
-        if (subject->is_object() && (*subject)["number"].is_number_unsigned()) {
-            highest = std::max(highest, (*subject)["number"].get<std::uint64_t>());
+        const nlohmann::json number =
+            subject->is_object() ? subject->value("number", nlohmann::json()) : nlohmann::json();
+        if (number.is_number_unsigned()) {
+            highest = std::max(highest, number.get<std::uint64_t>());
         }
     }
     context.out << table.to_string() << fmt::format("next free number: {}\n", highest + 1);
--- a/gentianhill_cli/tool.cpp
+++ b/gentianhill_cli/tool.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -201,6 +202,11 @@
         return run_command(context, *found.first, rest);
     } catch (const options::error& failure) {
         return usage_error(context, failure.what());
+    } catch (const nlohmann::json::exception& failure) {
+        context.errors << fmt::format("gentianhill: bad_answer: an answer has an unexpected form ({})\n"
+                                      "  next: tool and daemon may be of different versions\n",
+                                      failure.what());
+        return exit_code::refused;
     }
 }
 
--- a/gentianhill_cli/view_commands.cpp
+++ b/gentianhill_cli/view_commands.cpp
@@ -55,6 +55,18 @@
     return text;
 }
 
+// An instance that does not answer is shown with the role that it had: a lost primary is not a second one.
+std::string role_text(const nlohmann::json& instance) {
+    const std::string role = cell(instance, "role");
+    return cell(instance, "reachable") == "false" && role != "-" ? "was " + role : role;
+}
+
+std::string attempt_text(const nlohmann::json& coordination) {
+    const std::string phase = cell(coordination, "phase");
+    const std::string failure = cell(member(coordination, "last_attempt"), "failure");
+    return phase == "failed" && failure != "-" ? phase + ": " + failure : phase;
+}
+
 std::string render_groups(const std::vector<daemon_reply>& replies) {
     text_table groups{{"daemon", "group", "term", "primary", "health", "confirmed", "writes", "waiting",
                        "claims", "attempt"}};
@@ -69,13 +81,13 @@
                         cell(group, "primary_health"),
                         cell(confirmed, "term") + ":" + cell(confirmed, "position"),
                         cell(group, "accepts_writes"), cell(group, "waiting"), cell(coordination, "claims"),
-                        cell(coordination, "phase")});
+                        attempt_text(coordination)});
             for (const nlohmann::json& instance : member(group, "instances")) {
                 instances.add({daemon, cell(group, "group"), cell(instance, "instance"),
-                               cell(instance, "zone"), cell(instance, "role"),
-                               cell(instance, "accepted_term"), cell(instance, "position"),
-                               cell(instance, "age_ms"), cell(instance, "reachable"),
-                               cell(instance, "leaving"), cell(instance, "load")});
+                               cell(instance, "zone"), role_text(instance), cell(instance, "accepted_term"),
+                               cell(instance, "position"), cell(instance, "age_ms"),
+                               cell(instance, "reachable"), cell(instance, "leaving"),
+                               cell(instance, "load")});
             }
         }
     }
--- a/tests/cli/tool_tests.cpp
+++ b/tests/cli/tool_tests.cpp
@@ -28,7 +28,12 @@
                                   {"fingerprint", view.fingerprint()},
                                   {"not_ready", {"the daemon is draining"}}};
         };
-        operators.hooks.groups = [] { return nlohmann::json::array({{{"group", "wheeldb"}, {"term", 3}}}); };
+        operators.hooks.groups = [] {
+            return nlohmann::json::parse(R"([{"group": "wheeldb", "term": 3,
+                "coordination": {"claims": 2, "phase": "failed", "last_attempt": {"failure": "superseded"}},
+                "instances": [{"instance": "a", "role": "primary", "reachable": false},
+                              {"instance": "b", "role": "primary", "reachable": true}]}])");
+        };
         operators.hooks.tickets = [this] { return view.export_view(); };
         operators.hooks.timeline = [this](std::uint64_t since, std::size_t limit) {
             return events.export_since(since, limit);
@@ -227,3 +232,34 @@
     };
     CHECK(run({"ticket", "status", "1", "--wait", "1"}) == exit_code::partial);
 }
+
+// Guards against a lost primary that looks like a second one, and against answers that lack members.
+TEST_CASE_FIXTURE(tool_fixture, "tool_groups_unreachable_primary_is_shown_as_former") {
+    CHECK(run({"groups"}) == exit_code::success);
+    CHECK(printed("was primary"));
+    CHECK(printed("failed: superseded"));
+    first.operators.hooks.groups = [] { return nlohmann::json::parse(R"([null, 7, {"instances": [1]}])"); };
+    second.operators.hooks.groups = [] { return nlohmann::json(nullptr); };
+    CHECK(run({"groups"}) == exit_code::success);
+}
+
+// Guards against a tool that crashes on the answer of a daemon of another version.
+TEST_CASE_FIXTURE(tool_fixture, "tool_answer_of_unexpected_form_is_refused") {
+    for (const char* text : {"[]", "7", R"({"subjects": [1]})", R"({"subjects": {"team/a": {}}})",
+                             R"({"subjects": {"team/a": 1}, "applied": [1]})"}) {
+        CAPTURE(text);
+        first.operators.hooks.tickets = [text] { return nlohmann::json::parse(text); };
+        first.operators.hooks.timeline = [text](std::uint64_t /*since*/, std::size_t /*limit*/) {
+            return nlohmann::json::parse(text);
+        };
+        first.operators.hooks.ticket_status = [text](ticket_number /*number*/,
+                                                     const operator_answer& answer) {
+            answer(nlohmann::json::parse(text), {});
+        };
+        const exit_code listed = run({"ticket", "list"});
+        CHECK((listed == exit_code::success || listed == exit_code::refused));
+        const exit_code status = run({"ticket", "status", "1"});
+        CHECK((status == exit_code::success || status == exit_code::refused));
+        CHECK(run({"timeline", "--daemon", first.address()}) != exit_code::success);
+    }
+}
