Add transactions, faults, the link and the tests of the stand-ins

Cause: failure tests need transactions that roll back with their connection, switchable faults and a relay that partitions two processes. Ruled out: holding the writer by a SQLite lock, since an open transaction would also block reads; a lock with shared and exclusive holders keeps batches out while a transaction is open, in order of arrival and for at most a second. Change: statement_service, write_lock, answer_faults, database_faults and counters; standin_link; doctest programs over the real HTTP/2 client. An over-limit refusal echoes the request_id, else it counts as unknown. Replication answers and transactions are bounded in bytes.

--- a/standins/common/hold_list.h
+++ b/standins/common/hold_list.h
@@ -22,6 +22,8 @@
     void wake();
     /// Forgets the requests of a connection that has gone.
     void drop(http2::connection_id connection);
+    /// Forgets all requests; they are never answered.
+    void clear() { held_.clear(); }
     /// Requests held now.
     [[nodiscard]] std::size_t size() const { return held_.size(); }
 
--- a/standins/database/database_instance.h
+++ b/standins/database/database_instance.h
@@ -2,16 +2,20 @@
 
 #include "gentianhill/http2/server.h"
 #include "standins/common/hold_list.h"
+#include "standins/database/answer_faults.h"
 #include "standins/database/connection_gate.h"
+#include "standins/database/database_call.h"
+#include "standins/database/database_faults.h"
 #include "standins/database/database_requests.h"
 #include "standins/database/database_settings.h"
 #include "standins/database/replicator.h"
-#include "standins/database/slot_queue.h"
 #include "standins/database/sql_store.h"
+#include "standins/database/statement_service.h"
 #include "standins/database/term_rules.h"
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace gentianhill::standins {
@@ -31,34 +35,39 @@
     [[nodiscard]] endpoint address() const;
 
 private:
-    /// One request whose envelope has been read.
-    struct call {
-        http2::connection_id connection = 0;
-        request_envelope envelope;
-        http2::server::responder respond;
-    };
-    using call_handler = void (database_instance::*)(const call&);
+    using call_handler = void (database_instance::*)(const database_call&);
 
     void receive(http2::connection_id connection, const http2::request& request,
                  const http2::server::responder& respond);
     void handle(http2::connection_id connection, const http2::request& request,
                 const http2::server::responder& respond);
 
-    void on_status(const call& received);
-    void on_execute(const call& received);
-    void on_fence(const call& received);
-    void on_promote(const call& received);
-    void on_follow(const call& received);
-    void on_replicate(const call& received);
+    void connect_statements();
 
-    void answer(const call& received, nlohmann::json body);
-    void refuse(const call& received, const error& reason);
-    void answer_status(const call& received);
-    void answer_replicate(const call& received, const replicate_request& request);
+    void on_status(const database_call& received);
+    void on_execute(const database_call& received);
+    void on_begin(const database_call& received);
+    void on_commit(const database_call& received);
+    void on_roll_back(const database_call& received);
+    void on_fence(const database_call& received);
+    void on_promote(const database_call& received);
+    void on_follow(const database_call& received);
+    void on_replicate(const database_call& received);
+
+    void refuse_connection(http2::connection_id connection, const http2::request& request,
+                           const http2::server::responder& respond);
+    void on_control(const http2::request& request, const http2::server::responder& respond);
+    void apply_faults(bool was_leaving);
+    [[nodiscard]] nlohmann::json counters() const;
+    void count_new_work();
+
+    [[nodiscard]] http2::response answer_to(const database_call& received, nlohmann::json body) const;
+    [[nodiscard]] http2::response refusal_of(const database_call& received, const error& reason) const;
+    void answer(const database_call& received, nlohmann::json body);
+    void refuse(const database_call& received, const error& reason);
+    void answer_status(const database_call& received);
+    void answer_replicate(const database_call& received, const replicate_request& request);
     [[nodiscard]] nlohmann::json status_fields() const;
-    [[nodiscard]] bool may_execute(const execute_request& request, error& reason) const;
-    void run_batch(const call& received, const execute_request& request);
-    void answer_results(const call& received, const sql_store::results& results);
     [[nodiscard]] bool is_past(const status_request& request) const;
     void log_changed();
 
@@ -67,13 +76,21 @@
     http2::server server_;
     term_rules rules_;
     sql_store store_;
-    slot_queue slots_;
+    database_faults faults_;
+    answer_faults statement_answers_;
+    statement_service statements_;
     connection_gate gate_;
     replicator replicator_;
     hold_list held_status_;
     hold_list held_replication_;
     std::map<std::string, call_handler, std::less<>> calls_;
-    bool leaving_ = false;
+    time_point leaving_since_;
+    std::uint64_t dropped_requests_ = 0;
+    std::uint64_t new_work_after_leaving_ = 0;
+    /// Longest time between the notice of leaving and the arrival of new work.
+    duration latest_new_work_{0};
+    /// Expires with the instance; pending timers check it.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace gentianhill::standins
--- a/standins/database/database_settings.h
+++ b/standins/database/database_settings.h
@@ -31,6 +31,8 @@
     std::string group = "group";
     /// Addresses of the other instances by name; used by follow calls without an address.
     std::map<std::string, endpoint> peers;
+    /// Identity of the state that the instance starts with; empty lets it choose one at random.
+    std::string state_id;
     /// How the instance starts.
     start_mode start = start_mode::empty;
     /// Primary that a first member follows; must be in `peers`.
--- a/standins/database/sql_statement.cpp
+++ b/standins/database/sql_statement.cpp
@@ -61,4 +61,17 @@
     return result;
 }
 
+std::size_t size_of(const std::vector<sql_statement>& statements) {
+    constexpr std::size_t bytes_per_item = 64;
+    std::size_t size = bytes_per_item;
+    for (const sql_statement& statement : statements) {
+        size += statement.sql.size() + bytes_per_item;
+        for (const nlohmann::json& param : statement.params) {
+            size += bytes_per_item;
+            size += param.is_string() ? param.get_ref<const std::string&>().size() : 0;
+        }
+    }
+    return size;
+}
+
 } // namespace gentianhill::standins
--- a/standins/database/sql_statement.h
+++ b/standins/database/sql_statement.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,4 +28,7 @@
 /// JSON form of statements, as read by read_statements().
 [[nodiscard]] nlohmann::json to_json(const std::vector<sql_statement>& statements);
 
+/// Approximate size of statements in bytes, at least 1.
+[[nodiscard]] std::size_t size_of(const std::vector<sql_statement>& statements);
+
 } // namespace gentianhill::standins
--- a/standins/database/sql_store.cpp
+++ b/standins/database/sql_store.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// A transaction is one entry of the log and must fit into one answer to a replica.
+constexpr std::size_t max_transaction_bytes = 1U << 20U;
+
 /// Appends the statements that could change rows; the others need not be replayed.
 void keep_changes(const std::vector<sql_statement>& statements, const sql_store::results& results,
                   std::vector<sql_statement>& kept) {
@@ -52,6 +55,12 @@
 std::optional<sql_store::results> sql_store::run_in_transaction(const std::vector<sql_statement>& statements,
                                                                 batch_mode mode, error& reason) {
     assert(is_open());
+    const std::size_t size = size_of(transaction_) + size_of(statements);
+    if (size > max_transaction_bytes) {
+        reason = error{error_code::too_large, "transaction", fmt::format("{} bytes", size),
+                       fmt::format("at most {} bytes", max_transaction_bytes)};
+        return std::nullopt;
+    }
     std::optional<results> done = working_.run_batch(statements, mode, reason);
     if (done) {
         keep_changes(statements, *done, transaction_);
--- a/standins/database/sql_store.h
+++ b/standins/database/sql_store.h
@@ -26,8 +26,8 @@
 
     /// Opens the transaction; none may be open.
     void begin();
-    /// Runs a batch within the transaction. Errors: as of sql_engine::run_batch(); is_open() is false
-    /// afterwards if the statement ended the transaction.
+    /// Runs a batch within the transaction. Errors: as of sql_engine::run_batch(), too_large; is_open() is
+    /// false afterwards if the statement ended the transaction.
     [[nodiscard]] std::optional<results> run_in_transaction(const std::vector<sql_statement>& statements,
                                                             batch_mode mode, error& reason);
     /// Commits the transaction and appends it to the log under the term.
