Release calls that are pending when an event loop ends

Cause: a pending call keeps itself alive, so a loop that is destroyed before it has fired never releases what the action holds; under the address sanitizer build-san/tests/standins_tests reported 3,293,747 bytes in 2,954 allocations, all indirect, from closed HTTP/2 connections. Ruled out: a registry of detached calls, which costs each timer an entry. Change: the destructor finds pending calls by libevent's event list and releases them; a timer that outlives the loop can still be cancelled. Measured: core_tests, http2_tests and standins_tests built with -DGENTIANHILL_SANITIZE=ON report no leak and no other error. Conclusion: leak reports of tests are usable.

--- a/gentianhill/core/event_loop.cpp
+++ b/gentianhill/core/event_loop.cpp
@@ -29,6 +29,23 @@
             action();
         }
     }
+
+    /// One of the calls still pending on a loop, which no longer keeps itself alive; null when there is none.
+    static std::shared_ptr<state> take_pending(event_base* base) {
+        std::shared_ptr<state> found;
+        event_base_foreach_event(base, &find_pending, &found);
+        return found;
+    }
+
+private:
+    static int find_pending(const event_base* /*base*/, const event* candidate, void* argument) {
+        if (event_get_callback(candidate) != &on_fire) {
+            return 0;
+        }
+        state* pending = static_cast<state*>(event_get_callback_arg(candidate));
+        *static_cast<std::shared_ptr<state>*>(argument) = std::move(pending->self);
+        return 1;
+    }
 };
 
 struct event_loop::signal_watch {
@@ -66,7 +83,10 @@
     }
     const std::shared_ptr<state> keep = std::move(state_);
     state_ = nullptr;
-    event_del(keep->handle);
+    // The loop frees the handles of calls that are pending when it ends.
+    if (keep->handle != nullptr) {
+        event_del(keep->handle);
+    }
     keep->action = nullptr;
     keep->self = nullptr;
 }
@@ -81,6 +101,12 @@
 
 event_loop::~event_loop() {
     signals_.clear();
+    // A pending call keeps itself alive, so whatever its action holds would never be released. Releasing one
+    // may schedule another.
+    while (const std::shared_ptr<timer::state> pending = timer::state::take_pending(base_)) {
+        event_free(std::exchange(pending->handle, nullptr));
+        pending->action = nullptr;
+    }
     event_base_free(base_);
 }
 
