Bound the nesting of JSON input and name members without a name

Cause: a body of 1 MB with 500,000 nested arrays ended standin_platform with a segmentation fault (exit code 139): the error message serializes the value, which recurses. Ruled out: limiting only the error message, since values are also serialized when they are passed on or stored. Change: parse_json refuses more than 64 nested arrays and objects with too_large before it builds the value; an empty name is shown as "".

--- a/gentianhill/core/object_reader.cpp
+++ b/gentianhill/core/object_reader.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t shown_value_limit = 80;
+// Serializing a value recurses; 500,000 nested arrays, a body of 1 MB, overflowed the default stack.
+constexpr std::size_t max_nesting = 64;
 
 const nlohmann::json empty_array = nlohmann::json::array();
 const nlohmann::json empty_object = nlohmann::json::object();
@@ -23,6 +25,29 @@
     return text;
 }
 
+/// True when no more than `limit` arrays and objects are open at once; exact for valid JSON.
+bool is_nested_at_most(std::string_view text, std::size_t limit) {
+    std::size_t depth = 0;
+    bool in_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (in_string) {
+            // Skips the character after a backslash, which may be a quote.
+            i += c == '\\' ? 1U : 0U;
+            in_string = c != '"';
+        } else if (c == '"') {
+            in_string = true;
+        } else if (c == '[' || c == '{') {
+            if (++depth > limit) {
+                return false;
+            }
+        } else if ((c == ']' || c == '}') && depth > 0) {
+            --depth;
+        }
+    }
+    return true;
+}
+
 std::string text_member(const nlohmann::json& value, const char* name) {
     const nlohmann::json::const_iterator found = value.find(name);
     return found != value.end() && found->is_string() ? found->get<std::string>() : std::string{};
@@ -36,6 +61,11 @@
                        fmt::format("at most {} bytes", max_bytes)};
         return std::nullopt;
     }
+    if (!is_nested_at_most(text, max_nesting)) {
+        reason = error{error_code::too_large, "body", fmt::format("nested more than {} deep", max_nesting),
+                       fmt::format("at most {} nested arrays and objects", max_nesting)};
+        return std::nullopt;
+    }
     nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
     if (value.is_discarded()) {
         reason = error{error_code::bad_json, "body", std::string{text.substr(0, shown_value_limit)},
@@ -68,7 +98,9 @@
 }
 
 std::string object_reader::path_of(std::string_view name) const {
-    return path_.empty() ? std::string{name} : fmt::format("{}.{}", path_, name);
+    // A member may have an empty name, which must still be visible in an error.
+    const std::string_view shown = name.empty() ? "\"\"" : name;
+    return path_.empty() ? std::string{shown} : fmt::format("{}.{}", path_, shown);
 }
 
 void object_reader::fail(error_code code, std::string_view name, std::string value, std::string allowed) {
--- a/gentianhill/core/object_reader.h
+++ b/gentianhill/core/object_reader.h
@@ -12,7 +12,8 @@
 
 namespace gentianhill {
 
-/// Parses JSON text into a value. Errors: bad_json, too_large.
+/// Parses JSON text into a value. Errors: bad_json; too_large for more bytes, or more than 64 nested arrays
+/// and objects.
 [[nodiscard]] std::optional<nlohmann::json> parse_json(std::string_view text, std::size_t max_bytes,
                                                        error& reason);
 
--- a/tests/core/object_reader_tests.cpp
+++ b/tests/core/object_reader_tests.cpp
@@ -57,3 +57,27 @@
     CHECK_FALSE(parse_json("{}", 1, reason));
     CHECK(reason.code == error_code::too_large);
 }
+
+// Guards against deeply nested input that overflows the stack when it is shown or passed on.
+TEST_CASE_FIXTURE(reader_fixture, "parse_json_nested_too_deep_is_too_large") {
+    const std::string deep = std::string(65, '[') + std::string(65, ']');
+    CHECK_FALSE(parse_json(deep, 1000, reason));
+    CHECK(reason.code == error_code::too_large);
+    reason = error{};
+    CHECK(parse_json(deep.substr(1, 128), 1000, reason));
+    // Brackets in strings do not count, nor do closed ones.
+    CHECK(parse_json("[\"" + std::string(100, '[') + "\\\"[\",[],[]]", 1000, reason));
+    std::string wide = "[[]";
+    for (int i = 0; i < 100; ++i) {
+        wide += ",{}";
+    }
+    CHECK(parse_json(wide + "]", 1000, reason));
+}
+
+// Guards against an error that names no field.
+TEST_CASE_FIXTURE(reader_fixture, "object_reader_unknown_member_without_a_name_is_still_named") {
+    value = nlohmann::json{{"", 1}};
+    object_reader reader{value, "", reason};
+    CHECK_FALSE(reader.finish());
+    CHECK(reason.field == "\"\"");
+}
