Follow a primary that came back at another address

Cause: a repeated follow with a new address was answered but had no effect, so a replica kept pulling from the old address. Change: the replicator restarts when the address differs. Conclusion: no test of its own yet.

--- a/standins/database/database_instance.cpp
+++ b/standins/database/database_instance.cpp
@@ -111,7 +111,8 @@
         store_.append_term_start(rules_.accepted_term());
     } else if (settings_.start == start_mode::first_member) {
         rules_.bootstrap(instance_role::replica, settings_.follow);
-        replicator_.start(rules_.accepted_term(), settings_.peers.at(settings_.follow));
+        followed_address_ = settings_.peers.at(settings_.follow);
+        replicator_.start(rules_.accepted_term(), followed_address_);
     }
     return true;
 }
@@ -347,8 +348,12 @@
         statements_.abort_open();
     }
     const endpoint address = request->primary_address ? *request->primary_address : known->second;
-    // An admission asks the primary again how far its log reaches.
-    if (*change == term_change::raised || rules_.is_being_admitted() != was_being_admitted) {
+    // An admission asks the primary again how far its log reaches; a primary may come back at another
+    // address.
+    const bool restarts = *change == term_change::raised || address != followed_address_ ||
+                          rules_.is_being_admitted() != was_being_admitted;
+    if (restarts) {
+        followed_address_ = address;
         replicator_.start(rules_.accepted_term(), address);
         log_changed();
     }
--- a/standins/database/database_instance.h
+++ b/standins/database/database_instance.h
@@ -84,6 +84,7 @@
     hold_list held_status_;
     hold_list held_replication_;
     std::map<std::string, call_handler, std::less<>> calls_;
+    endpoint followed_address_;
     time_point leaving_since_;
     std::uint64_t dropped_requests_ = 0;
     std::uint64_t new_work_after_leaving_ = 0;
