Test idle transactions and a primary's new address

Cause: the idle limit of transactions and the restart of replication at another address had no tests. Change: two test cases; the second runs a replica through standin_link.

--- a/tests/standins/database_statement_tests.cpp
+++ b/tests/standins/database_statement_tests.cpp
@@ -92,6 +92,19 @@
     CHECK(to("a").call("/v1/begin", {{"term", 2}}).status == 200);
 }
 
+// Guards against a transaction that a daemon forgot and that keeps all other changes out.
+TEST_CASE_FIXTURE(database_group, "transaction_idle_for_too_long_is_aborted") {
+    database_settings settings = settings_of("d");
+    settings.start = start_mode::first_primary;
+    settings.transaction_idle_limit = 30ms;
+    add(settings);
+    REQUIRE(to("d").call("/v1/begin", {{"term", 1}}).status == 200);
+    REQUIRE(to("d").execute(1, "CREATE TABLE u (k)", false, true).status == 200);
+    REQUIRE(loop.run_until([this] { return counters("d")["aborted_transactions"] == 1; }, 2s));
+    CHECK(to("d").call("/v1/commit", {{"term", 1}}).error_name() == "transaction_closed");
+    CHECK(to("d").execute(1, "CREATE TABLE u (k)").status == 200);
+}
+
 // Guards against a statement that ends the transaction behind the instance's back.
 TEST_CASE_FIXTURE(database_group, "transaction_ended_by_a_statement_is_closed") {
     REQUIRE(to("a").call("/v1/begin", {{"term", 1}}).status == 200);
--- a/tests/standins/database_term_tests.cpp
+++ b/tests/standins/database_term_tests.cpp
@@ -1,3 +1,4 @@
+#include "standins/link/link_relay.h"
 #include "tests/standins/database_group.h"
 
 using namespace gentianhill;
@@ -161,3 +162,23 @@
     wait_until_equal("b", "a");
     CHECK(to("b").rows(1, "SELECT v FROM t WHERE k = 10") == nlohmann::json::parse(R"([["2"]])"));
 }
+
+// Guards against a replica that keeps pulling from an address at which its primary is no longer reachable.
+TEST_CASE_FIXTURE(database_group, "follow_repeated_with_another_address_pulls_from_there") {
+    link_settings settings;
+    settings.target = instances["a"]->address();
+    link_relay relay{loop, settings};
+    error reason;
+    REQUIRE(relay.start(reason));
+    nlohmann::json body{{"term", 1}, {"primary", "a"}};
+    body["primary_address"] = relay.address().to_string();
+    REQUIRE(to("c").call("/v1/follow", body).status == 200);
+    wait_until_equal("c", "a");
+    json_caller controller{loop, relay.control_address()};
+    REQUIRE(controller.request("POST", "/control", {{"backward", false}}).status == 200);
+    REQUIRE(to("a").execute(1, "INSERT INTO t VALUES (1, 'x')").status == 200);
+    wait_until_equal("b", "a");
+    CHECK(status("c")["position"] != status("a")["position"]);
+    REQUIRE(follow("c", 1, "a") == 200);
+    wait_until_equal("c", "a");
+}
