--- /dev/null
+++ b/gentianhill/backend/database_message.cpp
@@ -0,0 +1,122 @@
+#include "gentianhill/backend/database_message.h"
+
+#include "gentianhill/core/object_reader.h"
+
+#include <array>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+constexpr std::size_t max_answer_bytes = 4U << 20U;
+constexpr int http_ok = 200;
+constexpr std::int64_t max_number = INT64_MAX;
+
+using progress_name = std::pair<request_progress, std::string_view>;
+
+constexpr std::array progress_names{
+    progress_name{request_progress::not_sent, "not_sent"},
+    progress_name{request_progress::sent, "sent"},
+    progress_name{request_progress::answered, "answered"},
+};
+
+} // namespace
+
+std::string_view to_string(request_progress progress) {
+    for (const progress_name& entry : progress_names) {
+        if (entry.first == progress) {
+            return entry.second;
+        }
+    }
+    return "unknown";
+}
+
+nlohmann::json execute_request::to_json() const {
+    nlohmann::json list = nlohmann::json::array();
+    for (const sql_statement& statement : statements) {
+        list.push_back({{"sql", statement.sql}, {"params", statement.params}});
+    }
+    nlohmann::json body{{"term", term}, {"statements", std::move(list)}, {"read_only", read_only}};
+    if (in_transaction) {
+        body["transaction"] = true;
+    }
+    return body;
+}
+
+std::optional<instance_report> parse_instance_report(const nlohmann::json& status, time_point sent_at,
+                                                     time_point received_at, error& reason) {
+    object_reader reader{status, "status", reason};
+    instance_report report;
+    report.instance = reader.text("instance");
+    report.initialised = reader.boolean("initialised", true);
+    report.accepted_term = static_cast<term_number>(reader.integer("accepted_term", 0, max_number));
+    report.last.term = static_cast<term_number>(reader.integer("log_term", 0, max_number));
+    report.last.position = static_cast<std::uint64_t>(reader.integer("position", 0, max_number));
+    report.term_start = static_cast<std::uint64_t>(reader.integer("term_start", 0, max_number));
+    const std::string role = reader.text("role");
+    report.is_primary = role == "primary";
+    report.leaving = reader.boolean("leaving", false);
+    const nlohmann::json& primary = reader.any("primary");
+    report.primary = primary.is_string() ? primary.get<std::string>() : std::string{};
+    report.sent_at = sent_at;
+    report.received_at = received_at;
+    if (!reader.ok()) {
+        return std::nullopt;
+    }
+    return report;
+}
+
+std::optional<database_answer> parse_database_answer(int http_status, std::string_view body,
+                                                     std::string_view request_id, time_point sent_at,
+                                                     time_point received_at, backend_failure& failure) {
+    // Until the answer is known to belong to the request, the request may have run.
+    failure.progress = request_progress::sent;
+    const std::optional<nlohmann::json> parsed = parse_json(body, max_answer_bytes, failure.reason);
+    if (!parsed) {
+        return std::nullopt;
+    }
+    object_reader reader{*parsed, "", failure.reason};
+    const std::string echoed = reader.text("request_id");
+    if (!reader.ok()) {
+        return std::nullopt;
+    }
+    if (echoed != request_id) {
+        failure.reason = error{error_code::mismatched_answer, "request_id", echoed, std::string{request_id}};
+        return std::nullopt;
+    }
+    const nlohmann::json& refused = reader.any("error");
+    if (http_status != http_ok || refused.is_object()) {
+        failure.reason = error_from_json(refused);
+        // Only a well-formed refusal proves that the request did not run.
+        const bool is_refusal = refused.is_object() && failure.reason.code != error_code::unexpected;
+        failure.progress = is_refusal ? request_progress::answered : request_progress::sent;
+        return std::nullopt;
+    }
+    database_answer answer;
+    const nlohmann::json& status = reader.any("status");
+    if (status.is_object()) {
+        answer.report = parse_instance_report(status, sent_at, received_at, failure.reason);
+        if (!answer.report) {
+            return std::nullopt;
+        }
+    } else if (parsed->contains("accepted_term")) {
+        answer.report = parse_instance_report(*parsed, sent_at, received_at, failure.reason);
+        if (!answer.report) {
+            return std::nullopt;
+        }
+    }
+    if (parsed->contains("results")) {
+        answer.results = reader.array("results");
+    }
+    if (parsed->contains("log_term")) {
+        answer.at.term = static_cast<term_number>(reader.integer("log_term", 0, max_number));
+        answer.at.position = static_cast<std::uint64_t>(reader.integer("position", 0, max_number));
+    }
+    if (!reader.ok()) {
+        return std::nullopt;
+    }
+    return answer;
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/backend/database_message.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "gentianhill/consistency/instance_report.h"
+#include "gentianhill/core/error.h"
+#include "gentianhill/core/time.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gentianhill {
+
+/// One SQL statement with its positional parameters.
+struct sql_statement {
+    /// Text of the statement.
+    std::string sql;
+    /// Positional parameters; a JSON array.
+    nlohmann::json params = nlohmann::json::array();
+};
+
+/// Statements that an instance runs as one atomic batch.
+struct execute_request {
+    /// Term under which the batch may run.
+    term_number term = 0;
+    /// Statements in order.
+    std::vector<sql_statement> statements;
+    /// True when no statement may change data.
+    bool read_only = false;
+    /// True when the batch belongs to the connection's open transaction.
+    bool in_transaction = false;
+
+    [[nodiscard]] nlohmann::json to_json() const;
+};
+
+/// How far a request to an instance got before it failed.
+enum class request_progress : std::uint8_t {
+    /// The instance certainly did not receive it.
+    not_sent,
+    /// It may have been received and run.
+    sent,
+    /// The instance answered that it did not run.
+    answered,
+};
+
+/// Name of a progress as it appears in logs.
+[[nodiscard]] std::string_view to_string(request_progress progress);
+
+/// Why a request to an instance failed, and how far it got.
+struct backend_failure {
+    error reason;
+    request_progress progress = request_progress::not_sent;
+};
+
+/// A complete answer of an instance.
+struct database_answer {
+    /// Results of the statements in order: {columns, rows, changes}; empty for calls without statements.
+    nlohmann::json results = nlohmann::json::array();
+    /// Place in the log that the answer was computed at; for a write, the place of its own entry.
+    log_position at;
+    /// State of the instance, when the answer carries it.
+    std::optional<instance_report> report;
+};
+
+/// Reads an instance's status fields. Errors: missing_field, bad_type, out_of_range.
+[[nodiscard]] std::optional<instance_report> parse_instance_report(const nlohmann::json& status,
+                                                                   time_point sent_at, time_point received_at,
+                                                                   error& reason);
+
+/// Reads an answer body and checks that it belongs to `request_id`.
+/// Errors: bad_json, mismatched_answer, missing_field, bad_type, or the error that the instance answered
+/// with; `progress` tells whether the instance itself refused.
+[[nodiscard]] std::optional<database_answer> parse_database_answer(int http_status, std::string_view body,
+                                                                   std::string_view request_id,
+                                                                   time_point sent_at, time_point received_at,
+                                                                   backend_failure& failure);
+
+} // namespace gentianhill
--- /dev/null
+++ b/tests/backend/backend_connection_tests.cpp
@@ -0,0 +1,143 @@
+#include "gentianhill/backend/backend_connection.h"
+#include "gentianhill/backend/idempotency.h"
+#include "gentianhill/core/object_reader.h"
+#include "gentianhill/http2/server.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace gentianhill;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A scripted instance: each test decides what it answers.
+struct scripted_instance_fixture {
+    event_loop loop;
+    std::unique_ptr<http2::server> server;
+    std::unique_ptr<backend_connection> connection;
+    std::function<http2::response(const nlohmann::json&)> script;
+    int next_id = 1;
+
+    scripted_instance_fixture() {
+        http2::server_settings settings;
+        settings.listen = endpoint{"127.0.0.1", 0};
+        server = std::make_unique<http2::server>(loop, settings);
+        server->on_request = [this](http2::connection_id, const http2::request& request,
+                                    const http2::server::responder& respond) {
+            respond(script(nlohmann::json::parse(request.body)));
+        };
+        error reason;
+        REQUIRE(server->listen(reason));
+        connection = std::make_unique<backend_connection>(
+            loop, endpoint{"127.0.0.1", server->port()},
+            backend_identity{"kyushu-a-1", [this] { return "kyushu-a-1/" + std::to_string(next_id++); }});
+    }
+
+    struct outcome {
+        bool done = false;
+        std::optional<database_answer> answer;
+        backend_failure failure;
+    };
+
+    outcome call() {
+        const std::shared_ptr<outcome> result = std::make_shared<outcome>();
+        connection->call("/v1/execute", execute_request{1, {{"SELECT 1", {}}}, true, false}.to_json(), 1s,
+                         [result](std::optional<database_answer> answer, const backend_failure& failure) {
+                             result->done = true;
+                             result->answer = std::move(answer);
+                             result->failure = failure;
+                         });
+        REQUIRE(loop.run_until([&result] { return result->done; }, 3s));
+        return *result;
+    }
+
+    static nlohmann::json complete_answer(const nlohmann::json& request_id) {
+        return nlohmann::json{{"request_id", request_id},
+                              {"results", nlohmann::json::array()},
+                              {"log_term", 3},
+                              {"position", 17}};
+    }
+};
+
+} // namespace
+
+// Guards against an answer to another request being handed to the caller.
+TEST_CASE_FIXTURE(scripted_instance_fixture,
+                  "backend_connection_crossed_answer_fails_and_breaks_connection") {
+    script = [](const nlohmann::json&) { return http2::response{200, complete_answer("other/1").dump()}; };
+    const outcome result = call();
+    CHECK_FALSE(result.answer);
+    CHECK(result.failure.reason.code == error_code::mismatched_answer);
+    CHECK(result.failure.progress == request_progress::sent);
+    CHECK_FALSE(connection->is_usable());
+}
+
+// Guards against a truncated answer being taken for a whole one.
+TEST_CASE_FIXTURE(scripted_instance_fixture,
+                  "backend_connection_truncated_answer_fails_and_breaks_connection") {
+    script = [](const nlohmann::json& request) {
+        std::string body = complete_answer(request["request_id"]).dump();
+        body.resize(body.size() / 2);
+        return http2::response{200, body};
+    };
+    const outcome result = call();
+    CHECK(result.failure.reason.code == error_code::bad_json);
+    CHECK(result.failure.progress == request_progress::sent);
+    CHECK_FALSE(connection->is_usable());
+}
+
+// Guards against "not run" being reported when the refusal itself cannot be read.
+TEST_CASE_FIXTURE(scripted_instance_fixture, "backend_connection_error_without_code_counts_as_sent") {
+    script = [](const nlohmann::json& request) {
+        return http2::response{500, nlohmann::json{{"request_id", request["request_id"]}}.dump()};
+    };
+    const outcome result = call();
+    CHECK(result.failure.progress == request_progress::sent);
+    CHECK_FALSE(connection->is_usable());
+}
+
+// Guards against closing a good connection because a statement was refused.
+TEST_CASE_FIXTURE(scripted_instance_fixture, "backend_connection_typed_refusal_counts_as_answered") {
+    script = [](const nlohmann::json& request) {
+        return http2::response{
+            409, nlohmann::json{{"request_id", request["request_id"]},
+                                {"error", to_json(error{error_code::stale_term, "term", "1", "2"})}}
+                     .dump()};
+    };
+    const outcome result = call();
+    CHECK(result.failure.reason.code == error_code::stale_term);
+    CHECK(result.failure.progress == request_progress::answered);
+    CHECK(connection->is_usable());
+}
+
+// Guards against losing the log position that a session token is made from.
+TEST_CASE_FIXTURE(scripted_instance_fixture, "backend_connection_complete_answer_carries_position") {
+    script = [](const nlohmann::json& request) {
+        return http2::response{200, complete_answer(request["request_id"]).dump()};
+    };
+    const outcome result = call();
+    REQUIRE(result.answer);
+    CHECK(result.answer->at == log_position{3, 17});
+}
+
+// Guards against two different requests that share a digest by moving text between SQL and parameters.
+TEST_CASE("digest_of_different_statements_differs") {
+    const std::string plain = digest_of({{"INSERT INTO builds VALUES (?)", {"a"}}});
+    CHECK(plain == digest_of({{"INSERT INTO builds VALUES (?)", {"a"}}}));
+    CHECK(plain != digest_of({{"INSERT INTO builds VALUES (?)", {"b"}}}));
+    CHECK(plain != digest_of({{"INSERT INTO builds VALUES (?)", nlohmann::json::array()}}));
+}
+
+// Guards against a malformed lookup answer being read as "absent".
+TEST_CASE("parse_key_record_malformed_row_is_bad_answer") {
+    error reason;
+    CHECK_FALSE(parse_key_record(nlohmann::json::parse(R"([{"rows":[["done"]]}])"), reason));
+    CHECK(reason.code == error_code::bad_answer);
+    error absent;
+    CHECK_FALSE(parse_key_record(nlohmann::json::parse(R"([{"rows":[]}])"), absent));
+    CHECK_FALSE(absent.failed());
+}
