--- a/gentianhill/backend/database_message.cpp
+++ b/gentianhill/backend/database_message.cpp
@@ -2,7 +2,6 @@
 
 #include "gentianhill/core/object_reader.h"
 
-#include <array>
 #include <utility>
 
 namespace gentianhill {
@@ -13,25 +12,8 @@
 constexpr int http_ok = 200;
 constexpr std::int64_t max_number = INT64_MAX;
 
-using progress_name = std::pair<request_progress, std::string_view>;
-
-constexpr std::array progress_names{
-    progress_name{request_progress::not_sent, "not_sent"},
-    progress_name{request_progress::sent, "sent"},
-    progress_name{request_progress::answered, "answered"},
-};
-
 } // namespace
 
-std::string_view to_string(request_progress progress) {
-    for (const progress_name& entry : progress_names) {
-        if (entry.first == progress) {
-            return entry.second;
-        }
-    }
-    return "unknown";
-}
-
 nlohmann::json execute_request::to_json() const {
     nlohmann::json list = nlohmann::json::array();
     for (const sql_statement& statement : statements) {
@@ -59,6 +41,7 @@
     report.leaving = reader.boolean("leaving", false);
     const nlohmann::json& primary = reader.any("primary");
     report.primary = primary.is_string() ? primary.get<std::string>() : std::string{};
+    report.state_id = reader.optional_text("state_id").value_or("");
     report.sent_at = sent_at;
     report.received_at = received_at;
     if (!reader.ok()) {
--- a/gentianhill/backend/database_message.h
+++ b/gentianhill/backend/database_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gentianhill/admission/retry_policy.h"
 #include "gentianhill/consistency/instance_report.h"
 #include "gentianhill/core/error.h"
 #include "gentianhill/core/time.h"
@@ -36,19 +37,6 @@
     [[nodiscard]] nlohmann::json to_json() const;
 };
 
-/// How far a request to an instance got before it failed.
-enum class request_progress : std::uint8_t {
-    /// The instance certainly did not receive it.
-    not_sent,
-    /// It may have been received and run.
-    sent,
-    /// The instance answered that it did not run.
-    answered,
-};
-
-/// Name of a progress as it appears in logs.
-[[nodiscard]] std::string_view to_string(request_progress progress);
-
 /// Why a request to an instance failed, and how far it got.
 struct backend_failure {
     error reason;
