--- a/gentianhill/admission/retry_budget.cpp
+++ b/gentianhill/admission/retry_budget.cpp
@@ -5,21 +5,29 @@
 namespace gentianhill {
 
 retry_budget::retry_budget(const retry_budget_settings& settings, time_point now)
-    : settings_(settings), tokens_(settings.capacity), updated_(now) {}
+    : settings_(settings), tokens_(settings.capacity), advance_(settings.capacity), updated_(now) {}
 
 double retry_budget::available(time_point now) const {
     const double seconds = std::max(0.0, std::chrono::duration<double>(now - updated_).count());
     return std::min(settings_.capacity, tokens_ + seconds * settings_.min_per_second);
 }
 
-void retry_budget::add_request(time_point now) {
-    tokens_ = std::min(settings_.capacity, available(now) + settings_.ratio);
+void retry_budget::grant_advance(time_point now) {
+    const double tokens = available(now);
+    advance_ += tokens - tokens_;
+    tokens_ = tokens;
     updated_ = std::max(updated_, now);
 }
 
+void retry_budget::add_request(time_point now) {
+    grant_advance(now);
+    const double repaid = std::min(advance_, settings_.ratio);
+    advance_ -= repaid;
+    tokens_ = std::min(settings_.capacity, tokens_ + settings_.ratio - repaid);
+}
+
 bool retry_budget::try_spend(time_point now) {
-    tokens_ = available(now);
-    updated_ = std::max(updated_, now);
+    grant_advance(now);
     if (tokens_ < 1.0) {
         return false;
     }
--- a/gentianhill/consistency/replica_selector.cpp
+++ b/gentianhill/consistency/replica_selector.cpp
@@ -19,24 +19,6 @@
     return !request.max_age || (candidate.age && *candidate.age <= *request.max_age);
 }
 
-std::optional<duration> expected_catch_up(const read_request& request, const read_candidate& candidate) {
-    const log_position& last = candidate.report->last;
-    std::optional<duration> expected;
-    if (candidate.entries_per_second > 0.0 && request.seen.position > last.position) {
-        const double gap = static_cast<double>(request.seen.position - last.position);
-        const double seconds = gap / candidate.entries_per_second;
-        // Beyond a minute the exact figure decides nothing and could overflow.
-        constexpr double longest_seconds = 60.0;
-        expected = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(std::min(seconds, longest_seconds)));
-    }
-    // At a constant lag, everything written up to now arrives within the age that the replica has now.
-    if (candidate.age && (!expected || *candidate.age < *expected)) {
-        expected = candidate.age;
-    }
-    return expected;
-}
-
 eligibility state_for(const read_request& request, const read_candidate& candidate) {
     const eligibility state = serves(*candidate.report, request.seen);
     // A primary holds every confirmed entry up to its own term, also those after its last report.
@@ -58,6 +40,7 @@
     std::size_t catching_up = no_index;
     duration catch_up{0};
     std::size_t too_old = no_index;
+    std::size_t unheard = no_index;
     bool ahead_of_history = false;
 };
 
@@ -68,11 +51,37 @@
     return candidate.load + zone_cost + (candidate.is_primary ? settings_.primary_cost : 0.0);
 }
 
+std::optional<duration> replica_selector::expected_catch_up(const read_request& request,
+                                                            const read_candidate& candidate) const {
+    if (request.now - candidate.report->received_at >= settings_.report_stale_after) {
+        return settings_.min_wait;
+    }
+    const log_position& last = candidate.report->last;
+    std::optional<duration> expected;
+    if (candidate.entries_per_second > 0.0 && request.seen.position > last.position) {
+        const double gap = static_cast<double>(request.seen.position - last.position);
+        const double seconds = gap / candidate.entries_per_second;
+        // Beyond a minute the exact figure decides nothing and could overflow.
+        constexpr double longest_seconds = 60.0;
+        expected = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(std::min(seconds, longest_seconds)));
+    }
+    // At a constant lag, everything written up to now arrives within the age that the replica has now.
+    if (candidate.age && (!expected || *candidate.age < *expected)) {
+        expected = candidate.age;
+    }
+    return expected;
+}
+
 replica_selector::survey replica_selector::examine(const read_request& request,
                                                    std::span<const read_candidate> candidates) const {
     survey found;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const read_candidate& candidate = candidates[index];
+        // An instance that was never heard of may turn out to be fit by its first report.
+        if (candidate.report == nullptr && candidate.reachable && !candidate.leaving) {
+            found.unheard = index;
+        }
         if (!takes_work(candidate)) {
             continue;
         }
@@ -148,8 +157,9 @@
     }
     // Data that is too old by the last report may be younger by the next one.
     const duration budget = wait_budget(request, has_primary);
-    if (found.too_old != no_index && budget >= settings_.min_wait) {
-        return wait_for{found.too_old, budget};
+    const std::size_t awaited = found.too_old != no_index ? found.too_old : found.unheard;
+    if (awaited != no_index && budget >= settings_.min_wait) {
+        return wait_for{awaited, budget};
     }
     if (found.ahead_of_history) {
         return refusal(error_code::token_ahead_of_history, "a token of the present history");
--- a/gentianhill/consistency/replica_selector.h
+++ b/gentianhill/consistency/replica_selector.h
@@ -23,6 +23,9 @@
     double wait_margin = 1.5;
     /// Shortest wait granted when a replica is about to catch up; covers one report interval.
     duration min_wait = std::chrono::milliseconds{5};
+    /// A report older than this says little about where a replica is now; a wait of `min_wait` asks for a
+    /// newer one. Without it, replicas that are not used would never be heard of again.
+    duration report_stale_after = std::chrono::milliseconds{50};
     /// Cost of an instance in another availability zone, in units of load (1 = all slots busy).
     double other_zone_cost = 0.5;
     /// Cost of the primary, in units of load; it is the only instance that can run writes.
@@ -113,6 +116,8 @@
     [[nodiscard]] double cost(const read_request& request, const read_candidate& candidate) const;
     [[nodiscard]] survey examine(const read_request& request,
                                  std::span<const read_candidate> candidates) const;
+    [[nodiscard]] std::optional<duration> expected_catch_up(const read_request& request,
+                                                            const read_candidate& candidate) const;
     [[nodiscard]] duration wait_budget(const read_request& request, bool primary_available) const;
 
     replica_selector_settings settings_;
--- a/gentianhill/daemon/group_runtime.cpp
+++ b/gentianhill/daemon/group_runtime.cpp
@@ -32,7 +32,8 @@
 } // namespace
 
 group_runtime::group_runtime(daemon_context& context, const group_configuration& configuration)
-    : context_(context), view_(configuration, position_settings_for(context.settings), {}),
+    : context_(context),
+      view_(configuration, position_settings_for(context.settings), {}),
       detector_(detector_settings_for(context.settings)) {
     for (const instance_configuration& instance : configuration.instances) {
         instance_runtime& created = instances_[instance.name];
@@ -171,7 +172,9 @@
     return found == instances_.end() ? nullptr : found->second.gateway.get();
 }
 
-instance_gateway* group_runtime::primary_gateway() { return primary_ ? gateway(*primary_) : nullptr; }
+instance_gateway* group_runtime::primary_gateway() {
+    return primary_ ? gateway(*primary_) : nullptr;
+}
 
 void group_runtime::set_team(const std::string& team, double weight) {
     teams_[team] = weight;
@@ -263,8 +266,10 @@
     const position_tracker& positions = view_.positions();
     nlohmann::json instances = nlohmann::json::array();
     for (const read_candidate& candidate : candidates(now)) {
-        nlohmann::json entry{{"instance", candidate.instance}, {"zone", candidate.zone},
-                             {"reachable", candidate.reachable}, {"leaving", candidate.leaving},
+        nlohmann::json entry{{"instance", candidate.instance},
+                             {"zone", candidate.zone},
+                             {"reachable", candidate.reachable},
+                             {"leaving", candidate.leaving},
                              {"load", candidate.load}};
         if (candidate.report != nullptr) {
             entry.update(report_json(*candidate.report));
@@ -274,18 +279,17 @@
         instances.push_back(std::move(entry));
     }
     const primary_assessment assessment = detector_.assessment(now);
-    return nlohmann::json{{"group", name()},
-                          {"term", positions.current_term()},
-                          {"primary", primary_.value_or("")},
-                          {"primary_term", primary_term_},
-                          {"primary_health", std::string{to_string(assessment.health)}},
-                          {"suspicion", std::string{to_string(assessment.reason)}},
-                          {"confirmed",
-                           {{"term", positions.confirmed().term},
-                            {"position", positions.confirmed().position}}},
-                          {"accepts_writes", primary_.has_value() && accepts_writes(now)},
-                          {"waiting", waiters_.size()},
-                          {"instances", std::move(instances)}};
+    return nlohmann::json{
+        {"group", name()},
+        {"term", positions.current_term()},
+        {"primary", primary_.value_or("")},
+        {"primary_term", primary_term_},
+        {"primary_health", std::string{to_string(assessment.health)}},
+        {"suspicion", std::string{to_string(assessment.reason)}},
+        {"confirmed", {{"term", positions.confirmed().term}, {"position", positions.confirmed().position}}},
+        {"accepts_writes", primary_.has_value() && accepts_writes(now)},
+        {"waiting", waiters_.size()},
+        {"instances", std::move(instances)}};
 }
 
 nlohmann::json group_runtime::shares_json(time_point now) {
