--- a/gentianhill/daemon/group_runtime.cpp
+++ b/gentianhill/daemon/group_runtime.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+constexpr std::size_t max_teams = 1000;
+/// Weight of a team that no ticket sets.
+constexpr double default_team_weight = 100.0;
+
 position_tracker_settings position_settings_for(const daemon_settings& settings) {
     position_tracker_settings result;
     result.confirm_stall_limit = settings.confirm_stall_limit;
@@ -173,11 +177,29 @@
 
 instance_gateway* group_runtime::primary_gateway() { return primary_ ? gateway(*primary_) : nullptr; }
 
-void group_runtime::set_team(const std::string& team, double weight) {
-    teams_[team] = weight;
+void group_runtime::set_teams(const std::map<std::string, double>& teams, bool admits_all) {
+    admits_all_teams_ = admits_all;
+    teams_ = teams;
+    for (std::pair<const std::string, instance_runtime>& entry : instances_) {
+        for (const std::pair<const std::string, double>& team : teams_) {
+            entry.second.gateway->set_team(team.first, team.second);
+        }
+    }
+}
+
+bool group_runtime::has_team(const std::string& team) {
+    if (teams_.contains(team)) {
+        return true;
+    }
+    // Bounded, since the names come from callers.
+    if (!admits_all_teams_ || teams_.size() >= max_teams) {
+        return false;
+    }
+    teams_.emplace(team, default_team_weight);
     for (std::pair<const std::string, instance_runtime>& entry : instances_) {
-        entry.second.gateway->set_team(team, weight);
+        entry.second.gateway->set_team(team, default_team_weight);
     }
+    return true;
 }
 
 void group_runtime::set_leaving(const std::string& instance, bool leaving) {
--- a/gentianhill/daemon/group_runtime.h
+++ b/gentianhill/daemon/group_runtime.h
@@ -47,10 +47,11 @@
     /// Merges the view of another daemon. Errors: those of group_view::merge.
     bool merge(const nlohmann::json& view, std::optional<time_point> asked_at, error& reason);
 
-    /// Adds a team or changes its weight at all instances.
-    void set_team(const std::string& team, double weight);
+    /// Sets the teams that may use the group, with their weights; `admits_all` admits every other team as well,
+    /// with the default weight.
+    void set_teams(const std::map<std::string, double>& teams, bool admits_all);
     /// True when the team may use this group.
-    [[nodiscard]] bool has_team(const std::string& team) const { return teams_.contains(team); }
+    [[nodiscard]] bool has_team(const std::string& team);
     /// Backend servers that must get no new work, by instance name.
     void set_leaving(const std::string& instance, bool leaving);
 
@@ -98,6 +99,7 @@
     group_waiters waiters_;
     std::map<std::string, instance_runtime> instances_;
     std::map<std::string, double> teams_;
+    bool admits_all_teams_ = false;
     std::vector<read_candidate> candidates_;
     std::optional<std::string> primary_;
     term_number primary_term_ = 0;
--- /dev/null
+++ b/gentianhill/daemon/ticket_service.cpp
@@ -0,0 +1,165 @@
+#include "gentianhill/daemon/ticket_service.h"
+
+#include "gentianhill/tickets/ticket_schema.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+constexpr const char* ticket_prefix = "tickets/";
+
+std::string key_of(ticket_number number) { return fmt::format("{}{}", ticket_prefix, number); }
+
+prefix_watch_settings watch_settings() {
+    prefix_watch_settings settings;
+    settings.prefix = ticket_prefix;
+    return settings;
+}
+
+bool is_in_effect(const ticket_state& view, const nlohmann::json& accepted, ticket_number number) {
+    const nlohmann::json& subjects = accepted.at("subjects");
+    for (nlohmann::json::const_iterator subject = subjects.begin(); subject != subjects.end(); ++subject) {
+        if (!view.superseded_by(number, subject.key())) {
+            return true;
+        }
+    }
+    return false;
+}
+
+nlohmann::json accepted_json(const ticket& submitted, const std::vector<std::string>& warnings) {
+    return nlohmann::json{{"accepted", submitted.number}, {"warnings", warnings}};
+}
+
+} // namespace
+
+ticket_service::ticket_service(daemon_context& context, object_store& store)
+    : context_(context), store_(store),
+      watch_(context.loop, store, watch_settings(), [&context] { return context.random(); }) {
+    watch_.on_change = [this](const stored_object& object) {
+        error reason;
+        // A deleted ticket was superseded before; the view keeps what it set.
+        if (!object.value.is_null() && !apply(object.value, reason) && reason.failed()) {
+            context_.log.write(log_level::error, "tickets", "stored_ticket_invalid",
+                               {{"key", object.key}, {"reason", reason.describe()}});
+        }
+    };
+    watch_.on_listed = [this] { loaded_ = true; };
+}
+
+void ticket_service::set_watching(bool watching) { watching ? watch_.start() : watch_.stop(); }
+
+bool ticket_service::apply(const nlohmann::json& accepted, error& reason) {
+    const std::optional<ticket> checked = ticket_from_json(accepted, reason);
+    if (!checked) {
+        return false;
+    }
+    loaded_ = true;
+    if (accepted_.contains(checked->number)) {
+        return false;
+    }
+    const std::vector<std::string> raised = view_.apply(*checked);
+    if (raised.empty()) {
+        return false;
+    }
+    accepted_.emplace(checked->number, accepted);
+    forget_superseded();
+    context_.record(event_kind::ticket_applied, {},
+                    {{"ticket", std::to_string(checked->number)},
+                     {"author", checked->author},
+                     {"subjects", fmt::format("{}", fmt::join(raised, " "))}});
+    context_.log.write(log_level::info, "tickets", "ticket_applied",
+                       {{"ticket", checked->number}, {"author", checked->author}, {"raised", raised.size()}});
+    if (on_raised) {
+        on_raised(raised);
+    }
+    if (on_new_ticket) {
+        on_new_ticket(accepted);
+    }
+    return true;
+}
+
+void ticket_service::forget_superseded() {
+    std::map<ticket_number, nlohmann::json>::iterator entry = accepted_.begin();
+    while (entry != accepted_.end()) {
+        entry = is_in_effect(view_, entry->second, entry->first) ? std::next(entry) : accepted_.erase(entry);
+    }
+}
+
+void ticket_service::submit(const ticket& submitted, const operator_answer& answer) {
+    error reason;
+    if (!check_ticket(submitted, view_, reason)) {
+        context_.record(event_kind::ticket_rejected, {},
+                        {{"ticket", std::to_string(submitted.number)}, {"reason", reason.describe()}});
+        context_.log.write(log_level::warning, "tickets", "ticket_rejected",
+                           {{"ticket", submitted.number}, {"reason", reason.describe()}});
+        answer(std::nullopt, reason);
+        return;
+    }
+    context_.record(event_kind::ticket_submitted, {},
+                    {{"ticket", std::to_string(submitted.number)}, {"author", submitted.author}});
+    const std::vector<std::string> warnings = ticket_warnings(submitted, view_);
+    const nlohmann::json content = submitted.to_json();
+    store_.create_once(
+        key_of(submitted.number), content,
+        [this, submitted, warnings, content, answer](const create_result& result) {
+            error failure = result.reason;
+            switch (result.outcome) {
+            case create_outcome::created:
+            case create_outcome::already_there_same:
+                context_.record(event_kind::ticket_accepted, {},
+                                {{"ticket", std::to_string(submitted.number)}});
+                apply(content, failure);
+                answer(accepted_json(submitted, warnings), error{});
+                return;
+            case create_outcome::already_there_other:
+                failure = error{error_code::number_taken, "number", std::to_string(submitted.number),
+                                "a number that no other ticket has: see gentianhill ticket list"};
+                break;
+            case create_outcome::unavailable:
+            case create_outcome::bad_answer:
+                failure = error{error_code::platform_unavailable, "platform", failure.describe(),
+                                "submit the same ticket again: it is created at most once"};
+                break;
+            }
+            context_.log.write(log_level::warning, "tickets", "ticket_not_stored",
+                               {{"ticket", submitted.number}, {"reason", failure.describe()}});
+            answer(std::nullopt, failure);
+        });
+}
+
+void ticket_service::show(ticket_number number, const operator_answer& answer) {
+    store_.get(key_of(number), [answer, number](const store_result& result) {
+        if (result.outcome == store_outcome::found) {
+            answer(result.value, error{});
+            return;
+        }
+        const bool is_absent = result.outcome == store_outcome::not_found;
+        answer(std::nullopt, is_absent ? error{error_code::not_found, "number", std::to_string(number),
+                                               "an accepted ticket: see gentianhill ticket list"}
+                                       : error{error_code::platform_unavailable, "platform",
+                                               result.reason.describe(), "retry later"});
+    });
+}
+
+std::vector<nlohmann::json> ticket_service::after(ticket_number number, std::size_t max_bytes,
+                                                  bool& more) const {
+    std::vector<nlohmann::json> result;
+    std::size_t bytes = 0;
+    more = false;
+    std::map<ticket_number, nlohmann::json>::const_iterator entry = accepted_.upper_bound(number);
+    for (; entry != accepted_.end(); ++entry) {
+        bytes += entry->second.dump().size();
+        if (!result.empty() && bytes > max_bytes) {
+            more = true;
+            break;
+        }
+        result.push_back(entry->second);
+    }
+    return result;
+}
+
+} // namespace gentianhill
--- a/gentianhill/http2/server.cpp
+++ b/gentianhill/http2/server.cpp
@@ -314,15 +314,19 @@
     remove(id);
 }
 
+void server::stop_accepting() {
+    if (listener_ != nullptr) {
+        evconnlistener_free(listener_);
+        listener_ = nullptr;
+    }
+}
+
 void server::shut_down() {
     if (shutting_down_) {
         return;
     }
     shutting_down_ = true;
-    if (listener_ != nullptr) {
-        evconnlistener_free(listener_);
-        listener_ = nullptr;
-    }
+    stop_accepting();
     for (const std::pair<const connection_id, std::shared_ptr<connection>>& entry : connections_) {
         entry.second->send_shutdown_notice();
     }
--- a/gentianhill/http2/server.h
+++ b/gentianhill/http2/server.h
@@ -55,6 +55,8 @@
     [[nodiscard]] bool listen(error& reason);
     /// Port that the server listens on.
     [[nodiscard]] std::uint16_t port() const { return port_; }
+    /// Stops accepting connections; those that exist go on.
+    void stop_accepting();
     /// Stops accepting, sends GOAWAY on all connections and lets open requests finish.
     void shut_down();
     /// Closes one connection at once.
