--- a/gentianhill/daemon/connection_lease.cpp
+++ b/gentianhill/daemon/connection_lease.cpp
@@ -8,7 +8,10 @@
 
 connection_lease::connection_lease(instance_gateway& gateway, connection_pool::connection_id id,
                                    std::shared_ptr<backend_connection> connection)
-    : gateway_alive_(gateway.alive_), gateway_(gateway), id_(id), connection_(std::move(connection)),
+    : gateway_alive_(gateway.alive_),
+      gateway_(gateway),
+      id_(id),
+      connection_(std::move(connection)),
       instance_(gateway.configuration_.name) {
     ++gateway_.in_flight_;
 }
@@ -56,6 +59,8 @@
     }
 }
 
-bool connection_lease::is_usable() const { return connection_->is_usable(); }
+bool connection_lease::is_usable() const {
+    return connection_->is_usable();
+}
 
 } // namespace gentianhill
--- a/gentianhill/daemon/daemon_context.cpp
+++ b/gentianhill/daemon/daemon_context.cpp
@@ -25,11 +25,16 @@
 
 daemon_context::daemon_context(event_loop& shared_loop, const daemon_settings& checked_settings,
                                std::int64_t incarnation_ms)
-    : loop(shared_loop), settings(checked_settings), incarnation(incarnation_ms),
+    : loop(shared_loop),
+      settings(checked_settings),
+      incarnation(incarnation_ms),
       log(log_settings_for(checked_settings)),
-      events(timeline_settings_for(checked_settings, incarnation_ms)), generator_(std::random_device{}()) {}
+      events(timeline_settings_for(checked_settings, incarnation_ms)),
+      generator_(std::random_device{}()) {}
 
-double daemon_context::random() { return std::uniform_real_distribution<double>{0.0, 1.0}(generator_); }
+double daemon_context::random() {
+    return std::uniform_real_distribution<double>{0.0, 1.0}(generator_);
+}
 
 std::string daemon_context::next_request_id() {
     return fmt::format("{}/{}/{}", settings.name, incarnation, next_request_++);
--- a/gentianhill/daemon/fleet_service.cpp
+++ b/gentianhill/daemon/fleet_service.cpp
@@ -27,7 +27,10 @@
 
 fleet_service::fleet_service(daemon_context& context, object_store& store, ticket_service& tickets,
                              fleet_service_hooks hooks)
-    : context_(context), store_(store), tickets_(tickets), hooks_(std::move(hooks)),
+    : context_(context),
+      store_(store),
+      tickets_(tickets),
+      hooks_(std::move(hooks)),
       directory_(host_directory_settings{}) {
     network_ = std::make_unique<peer_network>(context.loop, network_settings_for(context), handlers(),
                                               [&context] { return context.random(); });
@@ -59,7 +62,9 @@
     network_->add_peer(peer);
 }
 
-void fleet_service::set_draining() { network_->set_draining(true); }
+void fleet_service::set_draining() {
+    network_->set_draining(true);
+}
 
 void fleet_service::push_ticket(const nlohmann::json& accepted) {
     ticket_batch batch;
@@ -180,9 +185,9 @@
     return is_news ? peer_news::applied : peer_news::known;
 }
 
-std::size_t fleet_service::ask_other_zones(
-    const opinion_request& question,
-    std::function<void(const std::string& zone, bool saw_commit)> on_opinion) {
+std::size_t
+fleet_service::ask_other_zones(const opinion_request& question,
+                               std::function<void(const std::string& zone, bool saw_commit)> on_opinion) {
     std::set<std::string> zones;
     for (const std::pair<const std::string, peer_address>& peer : known_) {
         if (peer.second.zone != context_.settings.zone) {
@@ -237,13 +242,13 @@
     const time_point now = event_loop::now();
     nlohmann::json daemons = nlohmann::json::array();
     for (const daemon_view& daemon : directory_.daemons(now)) {
-        daemons.push_back({{"name", daemon.name},
-                           {"zone", daemon.zone},
-                           {"address", daemon.address},
-                           {"state", std::string{to_string(daemon.state)}},
-                           {"last_heard_ms", daemon.last_heard_age
-                                                 ? nlohmann::json(to_milliseconds(*daemon.last_heard_age))
-                                                 : nlohmann::json(nullptr)}});
+        daemons.push_back(
+            {{"name", daemon.name},
+             {"zone", daemon.zone},
+             {"address", daemon.address},
+             {"state", std::string{to_string(daemon.state)}},
+             {"last_heard_ms", daemon.last_heard_age ? nlohmann::json(to_milliseconds(*daemon.last_heard_age))
+                                                     : nlohmann::json(nullptr)}});
     }
     nlohmann::json servers = nlohmann::json::array();
     for (const server_view& server : directory_.servers(now)) {
--- a/gentianhill/daemon/fleet_service.h
+++ b/gentianhill/daemon/fleet_service.h
@@ -5,8 +5,8 @@
 #include "gentianhill/membership/host_directory.h"
 #include "gentianhill/peer/peer_network.h"
 #include "gentianhill/platform/object_store.h"
-#include "gentianhill/promotion/coordinator_ranking.h"
 #include "gentianhill/promotion/claim_set.h"
+#include "gentianhill/promotion/coordinator_ranking.h"
 
 #include <functional>
 #include <map>
--- a/gentianhill/daemon/gentianhill_daemon.cpp
+++ b/gentianhill/daemon/gentianhill_daemon.cpp
@@ -41,9 +41,9 @@
     group_configuration result;
     result.name = name;
     for (const ticket_instance& instance : subject.instances) {
-        result.instances.push_back(instance_configuration{
-            instance.name, instance.address, instance.zone, static_cast<std::uint32_t>(instance.connections),
-            static_cast<std::uint32_t>(instance.slots)});
+        result.instances.push_back(instance_configuration{instance.name, instance.address, instance.zone,
+                                                          static_cast<std::uint32_t>(instance.connections),
+                                                          static_cast<std::uint32_t>(instance.slots)});
     }
     return result;
 }
@@ -60,9 +60,8 @@
 
 } // namespace
 
-std::unique_ptr<gentianhill_daemon> gentianhill_daemon::create(event_loop& loop,
-                                                               const daemon_settings& settings,
-                                                               error& reason) {
+std::unique_ptr<gentianhill_daemon>
+gentianhill_daemon::create(event_loop& loop, const daemon_settings& settings, error& reason) {
     token_codec_settings keys;
     keys.signing_key = settings.token_key;
     keys.previous_key = settings.token_previous_key;
@@ -74,9 +73,11 @@
 }
 
 gentianhill_daemon::gentianhill_daemon(event_loop& loop, const daemon_settings& settings, token_codec codec)
-    : settings_(settings), context_(loop, settings_, event_loop::wall_clock_ms()),
+    : settings_(settings),
+      context_(loop, settings_, event_loop::wall_clock_ms()),
       store_(loop, store_settings_for(settings_), [this] { return context_.random(); }),
-      service_(make_service_context(std::move(codec))), operators_(loop, settings_.operator_listen),
+      service_(make_service_context(std::move(codec))),
+      operators_(loop, settings_.operator_listen),
       admin_(loop, settings_.admin_listen) {
     tickets_ = std::make_unique<ticket_service>(context_, store_);
     tickets_->on_raised = [this](const std::vector<std::string>& subjects) { on_tickets_raised(subjects); };
@@ -106,20 +107,19 @@
     retry_budget_settings budget;
     constexpr double percent = 100.0;
     budget.ratio = static_cast<double>(settings_.retry_budget_percent) / percent;
-    return service_context{
-        context_,
-        std::move(codec),
-        replica_selector{replica_selector_settings{}},
-        retry_policy{},
-        retry_budget{budget, event_loop::now()},
-        [this](const std::string& name) { return find_group(name); },
-        [this](const std::string& team) -> std::optional<duration> {
-            const team_subject* found = tickets_->view().team(team);
-            if (found == nullptr || !found->max_age_ms) {
-                return std::nullopt;
-            }
-            return duration{std::chrono::milliseconds{*found->max_age_ms}};
-        }};
+    return service_context{context_,
+                           std::move(codec),
+                           replica_selector{replica_selector_settings{}},
+                           retry_policy{},
+                           retry_budget{budget, event_loop::now()},
+                           [this](const std::string& name) { return find_group(name); },
+                           [this](const std::string& team) -> std::optional<duration> {
+                               const team_subject* found = tickets_->view().team(team);
+                               if (found == nullptr || !found->max_age_ms) {
+                                   return std::nullopt;
+                               }
+                               return duration{std::chrono::milliseconds{*found->max_age_ms}};
+                           }};
 }
 
 bool gentianhill_daemon::start(error& reason) {
@@ -213,8 +213,8 @@
     remove_group(name);
     group_entry created;
     created.runtime = std::make_unique<group_runtime>(context_, wanted);
-    created.driver = std::make_unique<promotion_driver>(context_, *created.runtime, store_,
-                                                        hooks_for_driver(name));
+    created.driver =
+        std::make_unique<promotion_driver>(context_, *created.runtime, store_, hooks_for_driver(name));
     created.runtime->start();
     groups_.emplace(name, std::move(created));
 }
@@ -269,11 +269,11 @@
     const bool is_same_primary =
         positions.primary_term() > question.term ||
         (positions.primary_term() == question.term && positions.primary() == question.primary);
-    const bool is_healthy =
-        group->detector().assessment(event_loop::now()).health == primary_health::healthy;
+    const bool is_healthy = group->detector().assessment(event_loop::now()).health == primary_health::healthy;
     answer.saw_commit_recently = is_same_primary && is_healthy;
-    context_.record(event_kind::opinion_given, question.group,
-                    {{"primary", question.primary}, {"healthy", answer.saw_commit_recently ? "true" : "false"}});
+    context_.record(
+        event_kind::opinion_given, question.group,
+        {{"primary", question.primary}, {"healthy", answer.saw_commit_recently ? "true" : "false"}});
     return answer;
 }
 
@@ -354,8 +354,8 @@
         callers_->shut_down();
     }
     const bool is_finished = going_away_ && callers_->connection_count() == 0;
-    const bool is_idle = going_away_ && callers_->open_requests() == 0 &&
-                         event_loop::now() - drain_began_ > 2 * ready_notice;
+    const bool is_idle =
+        going_away_ && callers_->open_requests() == 0 && event_loop::now() - drain_began_ > 2 * ready_notice;
     if (is_finished || is_idle || is_overdue) {
         context_.record(event_kind::drain_finished, {}, {});
         context_.log.write(log_level::info, "daemon", "drain_finished",
@@ -398,8 +398,7 @@
         bool is_applied = true;
         for (nlohmann::json::const_iterator subject = stored->at("subjects").begin();
              subject != stored->at("subjects").end(); ++subject) {
-            const std::optional<ticket_number> newer =
-                tickets_->view().superseded_by(number, subject.key());
+            const std::optional<ticket_number> newer = tickets_->view().superseded_by(number, subject.key());
             const std::map<std::string, ticket_number> numbers = tickets_->view().numbers();
             const std::map<std::string, ticket_number>::const_iterator known = numbers.find(subject.key());
             const ticket_number current = known == numbers.end() ? 0 : known->second;
@@ -493,7 +492,9 @@
             control_bytes += entry.second.runtime->gateway(instance.name)->control_bytes();
         }
     }
-    registry.add_gauge("gentianhill_instance_control_bytes", "Bytes of control calls to instances since the start")
+    registry
+        .add_gauge("gentianhill_instance_control_bytes",
+                   "Bytes of control calls to instances since the start")
         .set(static_cast<double>(control_bytes));
 }
 
--- a/gentianhill/daemon/gentianhill_daemon.h
+++ b/gentianhill/daemon/gentianhill_daemon.h
@@ -24,9 +24,8 @@
 class gentianhill_daemon {
 public:
     /// The loop must outlive the daemon. Errors of the settings: those of token_codec::create.
-    [[nodiscard]] static std::unique_ptr<gentianhill_daemon> create(event_loop& loop,
-                                                                    const daemon_settings& settings,
-                                                                    error& reason);
+    [[nodiscard]] static std::unique_ptr<gentianhill_daemon>
+    create(event_loop& loop, const daemon_settings& settings, error& reason);
     ~gentianhill_daemon();
     gentianhill_daemon(const gentianhill_daemon&) = delete;
     gentianhill_daemon& operator=(const gentianhill_daemon&) = delete;
--- a/gentianhill/daemon/group_runtime.cpp
+++ b/gentianhill/daemon/group_runtime.cpp
@@ -36,7 +36,8 @@
 } // namespace
 
 group_runtime::group_runtime(daemon_context& context, const group_configuration& configuration)
-    : context_(context), view_(configuration, position_settings_for(context.settings), {}),
+    : context_(context),
+      view_(configuration, position_settings_for(context.settings), {}),
       detector_(detector_settings_for(context.settings)) {
     for (const instance_configuration& instance : configuration.instances) {
         instance_runtime& created = instances_[instance.name];
@@ -104,7 +105,7 @@
 }
 
 bool group_runtime::merge(const nlohmann::json& view, std::optional<time_point> asked_at, error& reason) {
-    if (!view_.merge(view, asked_at, reason)) {
+    if (!view_.merge(view, asked_at, event_loop::now(), reason)) {
         return false;
     }
     after_change();
@@ -175,7 +176,9 @@
     return found == instances_.end() ? nullptr : found->second.gateway.get();
 }
 
-instance_gateway* group_runtime::primary_gateway() { return primary_ ? gateway(*primary_) : nullptr; }
+instance_gateway* group_runtime::primary_gateway() {
+    return primary_ ? gateway(*primary_) : nullptr;
+}
 
 void group_runtime::set_teams(const std::map<std::string, double>& teams, bool admits_all) {
     admits_all_teams_ = admits_all;
@@ -265,28 +268,29 @@
 }
 
 void group_runtime::note_write_sent() {
-    ++writes_in_flight_;
     detector_.on_write_sent(event_loop::now());
 }
 
 void group_runtime::note_write_executed(const log_position& position) {
     const time_point now = event_loop::now();
-    --writes_in_flight_;
     view_.positions().on_write_executed(position, now);
     detector_.on_write_executed(now);
 }
 
-void group_runtime::note_write_failed() {
-    --writes_in_flight_;
-    detector_.on_write_ended(writes_in_flight_, event_loop::now());
+void group_runtime::note_write_failed(request_progress progress) {
+    const time_point now = event_loop::now();
+    progress == request_progress::answered ? detector_.on_write_rejected(now)
+                                           : detector_.on_write_unanswered(now);
 }
 
 nlohmann::json group_runtime::to_json(time_point now) {
     const position_tracker& positions = view_.positions();
     nlohmann::json instances = nlohmann::json::array();
     for (const read_candidate& candidate : candidates(now)) {
-        nlohmann::json entry{{"instance", candidate.instance}, {"zone", candidate.zone},
-                             {"reachable", candidate.reachable}, {"leaving", candidate.leaving},
+        nlohmann::json entry{{"instance", candidate.instance},
+                             {"zone", candidate.zone},
+                             {"reachable", candidate.reachable},
+                             {"leaving", candidate.leaving},
                              {"load", candidate.load}};
         if (candidate.report != nullptr) {
             entry.update(report_json(*candidate.report));
@@ -296,18 +300,17 @@
         instances.push_back(std::move(entry));
     }
     const primary_assessment assessment = detector_.assessment(now);
-    return nlohmann::json{{"group", name()},
-                          {"term", positions.current_term()},
-                          {"primary", primary_.value_or("")},
-                          {"primary_term", primary_term_},
-                          {"primary_health", std::string{to_string(assessment.health)}},
-                          {"suspicion", std::string{to_string(assessment.reason)}},
-                          {"confirmed",
-                           {{"term", positions.confirmed().term},
-                            {"position", positions.confirmed().position}}},
-                          {"accepts_writes", primary_.has_value() && accepts_writes(now)},
-                          {"waiting", waiters_.size()},
-                          {"instances", std::move(instances)}};
+    return nlohmann::json{
+        {"group", name()},
+        {"term", positions.current_term()},
+        {"primary", primary_.value_or("")},
+        {"primary_term", primary_term_},
+        {"primary_health", std::string{to_string(assessment.health)}},
+        {"suspicion", std::string{to_string(assessment.reason)}},
+        {"confirmed", {{"term", positions.confirmed().term}, {"position", positions.confirmed().position}}},
+        {"accepts_writes", primary_.has_value() && accepts_writes(now)},
+        {"waiting", waiters_.size()},
+        {"instances", std::move(instances)}};
 }
 
 nlohmann::json group_runtime::shares_json(time_point now) {
--- a/gentianhill/daemon/group_runtime.h
+++ b/gentianhill/daemon/group_runtime.h
@@ -47,8 +47,8 @@
     /// Merges the view of another daemon. Errors: those of group_view::merge.
     bool merge(const nlohmann::json& view, std::optional<time_point> asked_at, error& reason);
 
-    /// Sets the teams that may use the group, with their weights; `admits_all` admits every other team as well,
-    /// with the default weight.
+    /// Sets the teams that may use the group, with their weights; `admits_all` admits every other team as
+    /// well, with the default weight.
     void set_teams(const std::map<std::string, double>& teams, bool admits_all);
     /// True when the team may use this group.
     [[nodiscard]] bool has_team(const std::string& team);
@@ -68,7 +68,7 @@
     /// A write was sent to the primary, was executed at a position, or ended without one.
     void note_write_sent();
     void note_write_executed(const log_position& position);
-    void note_write_failed();
+    void note_write_failed(request_progress progress);
     /// False when new writes must be rejected, since replicas do not acknowledge earlier ones.
     [[nodiscard]] bool accepts_writes(time_point now) const { return view_.positions().acknowledging(now); }
 
@@ -104,7 +104,6 @@
     std::optional<std::string> primary_;
     term_number primary_term_ = 0;
     log_position confirmed_;
-    std::size_t writes_in_flight_ = 0;
     std::map<std::uint64_t, std::function<void()>> observers_;
     std::uint64_t next_observer_ = 1;
     bool advancing_ = false;
--- a/gentianhill/daemon/instance_gateway.cpp
+++ b/gentianhill/daemon/instance_gateway.cpp
@@ -9,8 +9,7 @@
 
 constexpr duration control_reconnect_delay = std::chrono::milliseconds{50};
 
-using connection_entry =
-    std::pair<const connection_pool::connection_id, std::shared_ptr<backend_connection>>;
+using connection_entry = std::pair<const connection_pool::connection_id, std::shared_ptr<backend_connection>>;
 
 backend_identity identity_of(daemon_context& context) {
     return backend_identity{context.settings.name, [&context] { return context.next_request_id(); }};
@@ -41,8 +40,11 @@
 
 instance_gateway::instance_gateway(daemon_context& context, const instance_configuration& configuration,
                                    instance_gateway_hooks hooks)
-    : context_(context), configuration_(configuration), hooks_(std::move(hooks)),
-      pool_(pool_settings_for(context, configuration)), queue_(queue_settings_for(context)) {}
+    : context_(context),
+      configuration_(configuration),
+      hooks_(std::move(hooks)),
+      pool_(pool_settings_for(context, configuration)),
+      queue_(queue_settings_for(context)) {}
 
 instance_gateway::~instance_gateway() {
     alive_.reset();
@@ -80,8 +82,8 @@
     const std::map<fair_queue::ticket_id, waiting_request> refused = std::exchange(waiting_, {});
     for (const std::pair<const fair_queue::ticket_id, waiting_request>& entry : refused) {
         queue_.remove(entry.first);
-        context_.loop.run_after(
-            duration{0}, [on_refused = entry.second.on_refused, reason] { on_refused(reason); });
+        context_.loop.run_after(duration{0},
+                                [on_refused = entry.second.on_refused, reason] { on_refused(reason); });
     }
 }
 
@@ -97,7 +99,9 @@
 
 void instance_gateway::refuse_expired(const std::vector<fair_queue::ticket_id>& expired) {
     for (const fair_queue::ticket_id late : expired) {
-        refuse(late, error{error_code::deadline_exceeded, "deadline_ms", {},
+        refuse(late, error{error_code::deadline_exceeded,
+                           "deadline_ms",
+                           {},
                            "a deadline that covers the wait for a connection"});
     }
 }
@@ -146,19 +150,19 @@
 }
 
 void instance_gateway::open(connection_pool::connection_id id) {
-    const std::shared_ptr<backend_connection> created = std::make_shared<backend_connection>(
-        context_.loop, configuration_.address, identity_of(context_));
+    const std::shared_ptr<backend_connection> created =
+        std::make_shared<backend_connection>(context_.loop, configuration_.address, identity_of(context_));
     connections_.emplace(id, created);
     const std::weak_ptr<bool> alive = alive_;
     hooks_.on_sent();
     // The first call shows that the server is the configured instance before any statement is sent to it.
-    created->call("/v1/status", nlohmann::json::object(), context_.settings.connect_timeout,
-                  [this, alive, id](const std::optional<database_answer>& answer,
-                                    const backend_failure& failure) {
-                      if (!alive.expired()) {
-                          on_opened(id, answer, failure);
-                      }
-                  });
+    created->call(
+        "/v1/status", nlohmann::json::object(), context_.settings.connect_timeout,
+        [this, alive, id](const std::optional<database_answer>& answer, const backend_failure& failure) {
+            if (!alive.expired()) {
+                on_opened(id, answer, failure);
+            }
+        });
 }
 
 void instance_gateway::on_opened(connection_pool::connection_id id,
@@ -245,8 +249,8 @@
         context_.loop.run_after(duration{0}, [replaced] { replaced->close(); });
     }
     control_not_before_ = now + control_reconnect_delay;
-    control_ = std::make_shared<backend_connection>(context_.loop, configuration_.address,
-                                                    identity_of(context_));
+    control_ =
+        std::make_shared<backend_connection>(context_.loop, configuration_.address, identity_of(context_));
 }
 
 void instance_gateway::control(std::string_view path, nlohmann::json body, duration timeout,
@@ -275,8 +279,8 @@
     }
     if (leaving) {
         pool_.drain();
-        refuse_waiting(error{error_code::leaving, "instance", configuration_.name,
-                             "another instance of the group"});
+        refuse_waiting(
+            error{error_code::leaving, "instance", configuration_.name, "another instance of the group"});
     } else {
         pool_.resume();
     }
--- a/gentianhill/daemon/instance_poller.cpp
+++ b/gentianhill/daemon/instance_poller.cpp
@@ -21,7 +21,9 @@
                                  std::function<const instance_report*()> known)
     : context_(context), gateway_(gateway), urgency_(std::move(urgency)), known_(std::move(known)) {}
 
-void instance_poller::start() { poll(); }
+void instance_poller::start() {
+    poll();
+}
 
 void instance_poller::wake() {
     const poll_urgency wanted = urgency_();
--- a/gentianhill/daemon/instance_poller.h
+++ b/gentianhill/daemon/instance_poller.h
@@ -17,13 +17,13 @@
     fresh,
 };
 
-/// Keeps the reports of one instance as fresh as the requests of this daemon need, and no fresher: idle polling
-/// at a high rate would not fit the control budget of 3 KB/s.
+/// Keeps the reports of one instance as fresh as the requests of this daemon need, and no fresher: idle
+/// polling at a high rate would not fit the control budget of 3 KB/s.
 class instance_poller {
 public:
     /// `urgency` is asked before each poll; `known` returns the newest report, or null.
-    instance_poller(daemon_context& context, instance_gateway& gateway,
-                    std::function<poll_urgency()> urgency, std::function<const instance_report*()> known);
+    instance_poller(daemon_context& context, instance_gateway& gateway, std::function<poll_urgency()> urgency,
+                    std::function<const instance_report*()> known);
 
     /// Starts polling.
     void start();
--- a/gentianhill/daemon/outcome_task.h
+++ b/gentianhill/daemon/outcome_task.h
@@ -4,8 +4,8 @@
 
 namespace gentianhill {
 
-/// Answers what became of a keyed request. A key that is absent is first recorded as cancelled and confirmed, so that
-/// a request still on its way is refused and "not run" stays true.
+/// Answers what became of a keyed request. A key that is absent is first recorded as cancelled and confirmed,
+/// so that a request still on its way is refused and "not run" stays true.
 class outcome_task : public primary_task {
 public:
     outcome_task(service_context& service, group_runtime& group, const outcome_request& request,
--- a/gentianhill/daemon/primary_task.cpp
+++ b/gentianhill/daemon/primary_task.cpp
@@ -17,9 +17,13 @@
                            session_token token, time_point deadline, caller_responder respond)
     : request_task(service, group, std::move(team), std::move(token), deadline, std::move(respond)) {}
 
-primary_task::~primary_task() { stop_observing(); }
+primary_task::~primary_task() {
+    stop_observing();
+}
 
-void primary_task::give_up(const error& reason) { may_have_run_ ? leave_unknown(reason) : refuse(reason); }
+void primary_task::give_up(const error& reason) {
+    may_have_run_ ? leave_unknown(reason) : refuse(reason);
+}
 
 void primary_task::attempt() {
     if (is_finished()) {
@@ -62,7 +66,8 @@
             const instance_gateway* gateway = self->group_.primary_gateway();
             return gateway != nullptr && !gateway->is_leaving();
         },
-        deadline_, [self](bool reached) {
+        deadline_,
+        [self](bool reached) {
             if (reached) {
                 self->attempt();
                 return;
@@ -111,11 +116,11 @@
         }
     });
     const std::shared_ptr<primary_task> self = shared_from_this();
-    lease->call("/v1/execute", request.to_json(), std::max(remaining(), min_timeout),
-                [self, lease, number](const std::optional<database_answer>& answer,
-                                      const backend_failure& failure) {
-                    self->on_answer(number, answer, failure);
-                });
+    lease->call(
+        "/v1/execute", request.to_json(), std::max(remaining(), min_timeout),
+        [self, lease, number](const std::optional<database_answer>& answer, const backend_failure& failure) {
+            self->on_answer(number, answer, failure);
+        });
 }
 
 void primary_task::on_answer(std::uint64_t attempt_number, const std::optional<database_answer>& answer,
@@ -124,7 +129,7 @@
     if (answer) {
         group_.note_write_executed(answer->at);
     } else {
-        group_.note_write_failed();
+        group_.note_write_failed(failure.progress);
     }
     if (awaited_ != attempt_number) {
         return;
@@ -148,8 +153,8 @@
                 request_progress::sent});
             return;
         case confirm_result::deadline:
-            self->leave_unknown(error{error_code::replicas_not_acknowledging, "deadline_ms", {},
-                                      "query the outcome by key"});
+            self->leave_unknown(
+                error{error_code::replicas_not_acknowledging, "deadline_ms", {}, "query the outcome by key"});
             return;
         }
     });
@@ -163,7 +168,7 @@
     if (failure.progress == request_progress::sent) {
         may_have_run_ = true;
     }
-    const failed_attempt failed{kind(),         failure.progress, failure.reason.code, attempts_,
+    const failed_attempt failed{kind(),        failure.progress, failure.reason.code, attempts_,
                                 may_have_run_, deadline_,        event_loop::now()};
     switch (service_.policy.decide(failed, service_.budget)) {
     case retry_action::retry_elsewhere:
--- a/gentianhill/daemon/primary_task.h
+++ b/gentianhill/daemon/primary_task.h
@@ -10,8 +10,8 @@
 
 namespace gentianhill {
 
-/// A request that runs one atomic batch on the primary and waits until it is confirmed. The batch may be sent again
-/// only when the derived class says that a repetition is harmless.
+/// A request that runs one atomic batch on the primary and waits until it is confirmed. The batch may be sent
+/// again only when the derived class says that a repetition is harmless.
 class primary_task : public request_task, public std::enable_shared_from_this<primary_task> {
 public:
     primary_task(service_context& service, group_runtime& group, std::string team, session_token token,
@@ -34,8 +34,8 @@
     virtual void on_duplicate(const error& reason) = 0;
 
     void attempt();
-    /// Reads the record of a key at the primary and holds it until it is confirmed; `on_record` gets nothing when the
-    /// key is absent.
+    /// Reads the record of a key at the primary and holds it until it is confirmed; `on_record` gets nothing
+    /// when the key is absent.
     void look_up(const std::string& key,
                  std::function<void(const std::optional<key_record>&, const database_answer&)> on_record);
     /// Answers a request that did not finish before its deadline.
--- a/gentianhill/daemon/promotion_driver.cpp
+++ b/gentianhill/daemon/promotion_driver.cpp
@@ -24,7 +24,10 @@
 
 promotion_driver::promotion_driver(daemon_context& context, group_runtime& group, object_store& store,
                                    promotion_driver_hooks hooks)
-    : context_(context), group_(group), store_(store), hooks_(std::move(hooks)),
+    : context_(context),
+      group_(group),
+      store_(store),
+      hooks_(std::move(hooks)),
       claims_(daemon_incarnation{context.settings.name, context.incarnation_text()}),
       attempt_(group.view().configuration(), promotion_settings{}, hooks_for_attempt()) {}
 
@@ -125,8 +128,7 @@
     const std::weak_ptr<bool> alive = alive_;
     store_.conditional_update(
         "groups/" + group_.name(),
-        [this, self, highest](
-            const std::optional<nlohmann::json>& current) -> std::optional<nlohmann::json> {
+        [this, self, highest](const std::optional<nlohmann::json>& current) -> std::optional<nlohmann::json> {
             error reason;
             const std::optional<claim_set> stored =
                 current ? claim_set::from_json(*current, reason) : std::optional<claim_set>{claim_set{}};
@@ -194,21 +196,21 @@
     context_.record(event_kind::fence_sent, group_.name(),
                     {{"instance", instance}, {"term", std::to_string(term)}}, attempt_event_);
     const std::weak_ptr<bool> alive = alive_;
-    gateway->control(
-        "/v1/fence", nlohmann::json{{"term", term}}, control_timeout,
-        [this, alive, instance, term](const std::optional<database_answer>& answer,
-                                      const backend_failure& failure) {
-            if (alive.expired()) {
-                return;
-            }
-            context_.record(answer ? event_kind::fence_accepted : event_kind::fence_rejected, group_.name(),
-                            {{"instance", instance},
-                             {"term", std::to_string(term)},
-                             {"reason", std::string{to_string(failure.reason.code)}}},
-                            attempt_event_);
-            attempt_.on_fence_answer(instance, answer ? answer->report : std::nullopt, failure.reason,
-                                     event_loop::now());
-        });
+    gateway->control("/v1/fence", nlohmann::json{{"term", term}}, control_timeout,
+                     [this, alive, instance, term](const std::optional<database_answer>& answer,
+                                                   const backend_failure& failure) {
+                         if (alive.expired()) {
+                             return;
+                         }
+                         context_.record(answer ? event_kind::fence_accepted : event_kind::fence_rejected,
+                                         group_.name(),
+                                         {{"instance", instance},
+                                          {"term", std::to_string(term)},
+                                          {"reason", std::string{to_string(failure.reason.code)}}},
+                                         attempt_event_);
+                         attempt_.on_fence_answer(instance, answer ? answer->report : std::nullopt,
+                                                  failure.reason, event_loop::now());
+                     });
 }
 
 void promotion_driver::send_promote(const std::string& instance, term_number term) {
@@ -220,16 +222,15 @@
         members.push_back(member.name);
     }
     const std::weak_ptr<bool> alive = alive_;
-    gateway->control("/v1/promote", nlohmann::json{{"term", term}, {"members", std::move(members)}},
-                     promote_timeout,
-                     [this, alive, instance](const std::optional<database_answer>& answer,
-                                             const backend_failure& failure) {
-                         if (alive.expired()) {
-                             return;
-                         }
-                         attempt_.on_promote_answer(instance, answer.has_value(), failure.reason,
-                                                    event_loop::now());
-                     });
+    gateway->control(
+        "/v1/promote", nlohmann::json{{"term", term}, {"members", std::move(members)}}, promote_timeout,
+        [this, alive, instance](const std::optional<database_answer>& answer,
+                                const backend_failure& failure) {
+            if (alive.expired()) {
+                return;
+            }
+            attempt_.on_promote_answer(instance, answer.has_value(), failure.reason, event_loop::now());
+        });
 }
 
 void promotion_driver::send_follow(const follow_order& order) {
@@ -251,16 +252,16 @@
         body["state_id"] = order.state_id;
     }
     const std::weak_ptr<bool> alive = alive_;
-    gateway->control("/v1/follow", std::move(body), control_timeout,
-                     [this, alive, order](const std::optional<database_answer>& answer,
-                                          const backend_failure& failure) {
-                         if (!alive.expired() && !answer) {
-                             context_.log.write(log_level::info, "promotion", "follow_failed",
-                                                {{"group", group_.name()},
-                                                 {"instance", order.instance},
-                                                 {"reason", failure.reason.describe()}});
-                         }
-                     });
+    gateway->control(
+        "/v1/follow", std::move(body), control_timeout,
+        [this, alive, order](const std::optional<database_answer>& answer, const backend_failure& failure) {
+            if (!alive.expired() && !answer) {
+                context_.log.write(log_level::info, "promotion", "follow_failed",
+                                   {{"group", group_.name()},
+                                    {"instance", order.instance},
+                                    {"reason", failure.reason.describe()}});
+            }
+        });
 }
 
 void promotion_driver::finished(const promotion_result& result) {
--- a/gentianhill/daemon/promotion_driver.h
+++ b/gentianhill/daemon/promotion_driver.h
@@ -31,8 +31,8 @@
     std::function<void()> publish_view;
 };
 
-/// Runs promotions of one database group: keeps claims in stock, starts an attempt when the primary is suspected,
-/// sends its requests to the instances, and brings instances that follow no one back.
+/// Runs promotions of one database group: keeps claims in stock, starts an attempt when the primary is
+/// suspected, sends its requests to the instances, and brings instances that follow no one back.
 class promotion_driver {
 public:
     promotion_driver(daemon_context& context, group_runtime& group, object_store& store,
--- a/gentianhill/daemon/read_task.cpp
+++ b/gentianhill/daemon/read_task.cpp
@@ -19,7 +19,8 @@
                      session_token token, caller_responder respond)
     : request_task(service, group, request.team, std::move(token), event_loop::now() + request.deadline,
                    std::move(respond)),
-      request_(request), primary_only_(request.consistency == read_consistency::latest) {
+      request_(request),
+      primary_only_(request.consistency == read_consistency::latest) {
     if (!request_.max_age) {
         request_.max_age = service.team_max_age(request.team);
     }
@@ -27,7 +28,9 @@
 
 void read_task::attempt() {
     if (is_late()) {
-        const error reason{error_code::deadline_exceeded, "deadline_ms", {},
+        const error reason{error_code::deadline_exceeded,
+                           "deadline_ms",
+                           {},
                            "a longer deadline, or an instance that can serve the read"};
         was_sent_ ? leave_unknown(reason) : refuse(reason);
         return;
@@ -54,7 +57,7 @@
         const bool may_change =
             reason.code == error_code::no_eligible_instance || reason.code == error_code::no_primary;
         // A promotion or a report may make an instance eligible before the deadline.
-        may_change && remaining() > choice_interval ? pause_then_attempt(choice_interval) : refuse(reason);
+        may_change&& remaining() > choice_interval ? pause_then_attempt(choice_interval) : refuse(reason);
     }
 }
 
@@ -66,7 +69,8 @@
             const instance_report* report = self->group_.view().positions().report_of(instance);
             return report != nullptr && serves(*report, self->seen()) == eligibility::eligible;
         },
-        std::min(began + limit, deadline_), [self, began](bool /*reached*/) {
+        std::min(began + limit, deadline_),
+        [self, began](bool /*reached*/) {
             self->waited_ += event_loop::now() - began;
             self->attempt();
         });
@@ -111,8 +115,8 @@
 }
 
 void read_task::on_failure(const backend_failure& failure) {
-    const failed_attempt failed{request_class::read, failure.progress, failure.reason.code, attempts_,
-                                false,               deadline_,        event_loop::now()};
+    const failed_attempt failed{request_class::read, failure.progress, failure.reason.code, attempts_, false,
+                                deadline_,           event_loop::now()};
     switch (service_.policy.decide(failed, service_.budget)) {
     case retry_action::retry_elsewhere:
         pause_then_attempt(choice_interval);
@@ -144,7 +148,9 @@
             self->pause_then_attempt(choice_interval);
             return;
         case confirm_result::deadline:
-            self->leave_unknown(error{error_code::deadline_exceeded, "deadline_ms", {},
+            self->leave_unknown(error{error_code::deadline_exceeded,
+                                      "deadline_ms",
+                                      {},
                                       "a longer deadline: the data read is not confirmed yet"});
             return;
         }
@@ -154,10 +160,8 @@
 bool read_task::is_fresh(const database_answer& answer, time_point now) const {
     if (request_.consistency == read_consistency::latest) {
         // No newer primary existed at a moment after the request arrived.
-        const std::optional<time_point> seen_at =
-            group_.view().positions().majority_seen_at(answer.at.term);
-        return seen_at && *seen_at >= started_ &&
-               group_.view().positions().current_term() == answer.at.term;
+        const std::optional<time_point> seen_at = group_.view().positions().majority_seen_at(answer.at.term);
+        return seen_at && *seen_at >= started_ && group_.view().positions().current_term() == answer.at.term;
     }
     if (!request_.max_age) {
         return true;
@@ -184,7 +188,9 @@
                               self->complete(instance, answer);
                               return;
                           }
-                          self->leave_unknown(error{error_code::no_majority, "max_age_ms", {},
+                          self->leave_unknown(error{error_code::no_majority,
+                                                    "max_age_ms",
+                                                    {},
                                                     "a majority of the group's instances must be reachable "
                                                     "to show that the data is recent"});
                       });
--- a/gentianhill/daemon/read_task.h
+++ b/gentianhill/daemon/read_task.h
@@ -6,8 +6,8 @@
 
 namespace gentianhill {
 
-/// Serves one read: chooses an instance, runs the statement there, and holds the answer until everything that it
-/// shows is confirmed and young enough.
+/// Serves one read: chooses an instance, runs the statement there, and holds the answer until everything that
+/// it shows is confirmed and young enough.
 class read_task : public request_task, public std::enable_shared_from_this<read_task> {
 public:
     read_task(service_context& service, group_runtime& group, const statement_request& request,
--- a/gentianhill/daemon/request_task.cpp
+++ b/gentianhill/daemon/request_task.cpp
@@ -6,8 +6,13 @@
 
 request_task::request_task(service_context& service, group_runtime& group, std::string team,
                            session_token token, time_point deadline, caller_responder respond)
-    : service_(service), group_(group), team_(std::move(team)), token_(std::move(token)),
-      started_(event_loop::now()), deadline_(deadline), respond_(std::move(respond)) {}
+    : service_(service),
+      group_(group),
+      team_(std::move(team)),
+      token_(std::move(token)),
+      started_(event_loop::now()),
+      deadline_(deadline),
+      respond_(std::move(respond)) {}
 
 void request_task::finish(caller_answer answer) {
     if (finished_) {
@@ -32,7 +37,9 @@
     respond_(answer);
 }
 
-void request_task::leave_unknown(const error& reason) { finish(caller_answer::unknown(reason)); }
+void request_task::leave_unknown(const error& reason) {
+    finish(caller_answer::unknown(reason));
+}
 
 void request_task::add_token(caller_answer& answer, const log_position& confirmed) {
     error reason;
--- a/gentianhill/daemon/request_task.h
+++ b/gentianhill/daemon/request_task.h
@@ -9,7 +9,8 @@
 
 namespace gentianhill {
 
-/// What all tasks that serve one request of a caller have in common: the session, the deadline and the one answer.
+/// What all tasks that serve one request of a caller have in common: the session, the deadline and the one
+/// answer.
 class request_task {
 public:
     request_task(service_context& service, group_runtime& group, std::string team, session_token token,
--- a/gentianhill/daemon/statement_service.cpp
+++ b/gentianhill/daemon/statement_service.cpp
@@ -20,10 +20,9 @@
 
 statement_service::statement_service(service_context& service)
     : service_(service),
-      transactions_(service, [this](group_runtime& group, const outcome_request& request,
-                                    const caller_responder& respond) {
-          resolve_outcome(group, request, respond);
-      }) {}
+      transactions_(service,
+                    [this](group_runtime& group, const outcome_request& request,
+                           const caller_responder& respond) { resolve_outcome(group, request, respond); }) {}
 
 caller_handlers statement_service::handlers() {
     caller_handlers result;
--- a/gentianhill/daemon/statement_service.h
+++ b/gentianhill/daemon/statement_service.h
@@ -9,7 +9,8 @@
 
 namespace gentianhill {
 
-/// Takes the checked requests of callers, looks up group, team and session, and starts the task that serves each.
+/// Takes the checked requests of callers, looks up group, team and session, and starts the task that serves
+/// each.
 class statement_service {
 public:
     explicit statement_service(service_context& service);
--- a/gentianhill/daemon/ticket_service.cpp
+++ b/gentianhill/daemon/ticket_service.cpp
@@ -12,7 +12,9 @@
 
 constexpr const char* ticket_prefix = "tickets/";
 
-std::string key_of(ticket_number number) { return fmt::format("{}{}", ticket_prefix, number); }
+std::string key_of(ticket_number number) {
+    return fmt::format("{}{}", ticket_prefix, number);
+}
 
 prefix_watch_settings watch_settings() {
     prefix_watch_settings settings;
@@ -37,7 +39,8 @@
 } // namespace
 
 ticket_service::ticket_service(daemon_context& context, object_store& store)
-    : context_(context), store_(store),
+    : context_(context),
+      store_(store),
       watch_(context.loop, store, watch_settings(), [&context] { return context.random(); }) {
     watch_.on_change = [this](const stored_object& object) {
         error reason;
@@ -50,7 +53,9 @@
     watch_.on_listed = [this] { loaded_ = true; };
 }
 
-void ticket_service::set_watching(bool watching) { watching ? watch_.start() : watch_.stop(); }
+void ticket_service::set_watching(bool watching) {
+    watching ? watch_.start() : watch_.stop();
+}
 
 bool ticket_service::apply(const nlohmann::json& accepted, error& reason) {
     const std::optional<ticket> checked = ticket_from_json(accepted, reason);
@@ -103,32 +108,33 @@
                     {{"ticket", std::to_string(submitted.number)}, {"author", submitted.author}});
     const std::vector<std::string> warnings = ticket_warnings(submitted, view_);
     const nlohmann::json content = submitted.to_json();
-    store_.create_once(
-        key_of(submitted.number), content,
-        [this, submitted, warnings, content, answer](const create_result& result) {
-            error failure = result.reason;
-            switch (result.outcome) {
-            case create_outcome::created:
-            case create_outcome::already_there_same:
-                context_.record(event_kind::ticket_accepted, {},
-                                {{"ticket", std::to_string(submitted.number)}});
-                apply(content, failure);
-                answer(accepted_json(submitted, warnings), error{});
-                return;
-            case create_outcome::already_there_other:
-                failure = error{error_code::number_taken, "number", std::to_string(submitted.number),
-                                "a number that no other ticket has: see gentianhill ticket list"};
-                break;
-            case create_outcome::unavailable:
-            case create_outcome::bad_answer:
-                failure = error{error_code::platform_unavailable, "platform", failure.describe(),
-                                "submit the same ticket again: it is created at most once"};
-                break;
-            }
-            context_.log.write(log_level::warning, "tickets", "ticket_not_stored",
-                               {{"ticket", submitted.number}, {"reason", failure.describe()}});
-            answer(std::nullopt, failure);
-        });
+    store_.create_once(key_of(submitted.number), content,
+                       [this, submitted, warnings, content, answer](const create_result& result) {
+                           error failure = result.reason;
+                           switch (result.outcome) {
+                           case create_outcome::created:
+                           case create_outcome::already_there_same:
+                               context_.record(event_kind::ticket_accepted, {},
+                                               {{"ticket", std::to_string(submitted.number)}});
+                               apply(content, failure);
+                               answer(accepted_json(submitted, warnings), error{});
+                               return;
+                           case create_outcome::already_there_other:
+                               failure =
+                                   error{error_code::number_taken, "number", std::to_string(submitted.number),
+                                         "a number that no other ticket has: see gentianhill ticket list"};
+                               break;
+                           case create_outcome::unavailable:
+                           case create_outcome::bad_answer:
+                               failure =
+                                   error{error_code::platform_unavailable, "platform", failure.describe(),
+                                         "submit the same ticket again: it is created at most once"};
+                               break;
+                           }
+                           context_.log.write(log_level::warning, "tickets", "ticket_not_stored",
+                                              {{"ticket", submitted.number}, {"reason", failure.describe()}});
+                           answer(std::nullopt, failure);
+                       });
 }
 
 void ticket_service::show(ticket_number number, const operator_answer& answer) {
--- a/gentianhill/daemon/ticket_service.h
+++ b/gentianhill/daemon/ticket_service.h
@@ -14,7 +14,8 @@
 
 namespace gentianhill {
 
-/// The tickets that are in effect at this daemon: learned from the platform's service and from peers, never lowered.
+/// The tickets that are in effect at this daemon: learned from the platform's service and from peers, never
+/// lowered.
 class ticket_service {
 public:
     ticket_service(daemon_context& context, object_store& store);
@@ -35,8 +36,8 @@
     void submit(const ticket& submitted, const operator_answer& answer);
     /// Reads a ticket back from the platform.
     void show(ticket_number number, const operator_answer& answer);
-    /// Tickets above a number that are still in effect, in ascending order and at most `max_bytes`; `more` tells
-    /// whether some were left out.
+    /// Tickets above a number that are still in effect, in ascending order and at most `max_bytes`; `more`
+    /// tells whether some were left out.
     [[nodiscard]] std::vector<nlohmann::json> after(ticket_number number, std::size_t max_bytes,
                                                     bool& more) const;
 
--- a/gentianhill/daemon/transaction_service.cpp
+++ b/gentianhill/daemon/transaction_service.cpp
@@ -11,7 +11,9 @@
 constexpr duration idle_limit = std::chrono::seconds{10};
 constexpr duration min_timeout = std::chrono::milliseconds{1};
 
-duration time_until(time_point deadline) { return std::max(deadline - event_loop::now(), min_timeout); }
+duration time_until(time_point deadline) {
+    return std::max(deadline - event_loop::now(), min_timeout);
+}
 
 void put_result(caller_answer& reply, const nlohmann::json& results) {
     if (!results.empty() && results[0].is_object()) {
@@ -79,7 +81,8 @@
             const instance_gateway* gateway = group.primary_gateway();
             return gateway != nullptr && !gateway->is_leaving();
         },
-        deadline, [this, created, deadline, respond](bool reached) {
+        deadline,
+        [this, created, deadline, respond](bool reached) {
             if (!reached) {
                 refuse(respond, created,
                        error{error_code::no_primary, "group", created->group->name(),
@@ -101,23 +104,22 @@
     created->term = created->group->view().positions().primary_term();
     // Pinned before the call: if its answer is lost, the connection must not return to the pool.
     created->lease->pin();
-    created->lease->call(
-        "/v1/begin", nlohmann::json{{"term", created->term}}, timeout,
-        [this, created, respond](const std::optional<database_answer>& answer,
-                                 const backend_failure& failure) {
-            if (!answer) {
-                created->lease.reset();
-                refuse(respond, created, failure.reason);
-                return;
-            }
-            created->used_at = event_loop::now();
-            open_.emplace(created->id, created);
-            caller_answer reply;
-            reply.status = request_status::done;
-            reply.transaction = created->id;
-            reply.served_by = created->lease->instance();
-            respond(reply);
-        });
+    created->lease->call("/v1/begin", nlohmann::json{{"term", created->term}}, timeout,
+                         [this, created, respond](const std::optional<database_answer>& answer,
+                                                  const backend_failure& failure) {
+                             if (!answer) {
+                                 created->lease.reset();
+                                 refuse(respond, created, failure.reason);
+                                 return;
+                             }
+                             created->used_at = event_loop::now();
+                             open_.emplace(created->id, created);
+                             caller_answer reply;
+                             reply.status = request_status::done;
+                             reply.transaction = created->id;
+                             reply.served_by = created->lease->instance();
+                             respond(reply);
+                         });
 }
 
 void transaction_service::run(http2::connection_id caller, const statement_request& request,
@@ -129,8 +131,7 @@
         return;
     }
     if (target->group->name() != request.group) {
-        refuse(respond, target,
-               error{error_code::bad_value, "group", request.group, target->group->name()});
+        refuse(respond, target, error{error_code::bad_value, "group", request.group, target->group->name()});
         return;
     }
     const time_point deadline = event_loop::now() + request.deadline;
@@ -219,8 +220,8 @@
                                      time_point deadline, const caller_responder& respond) {
     execute_request batch;
     batch.term = target->term;
-    batch.statements = record_key_statements(
-        request_key{*request.key, request.issued_at, digest_of(target->statements)});
+    batch.statements =
+        record_key_statements(request_key{*request.key, request.issued_at, digest_of(target->statements)});
     batch.in_transaction = true;
     target->lease->call("/v1/execute", batch.to_json(), time_until(deadline),
                         [this, target, request, deadline, respond](
@@ -253,7 +254,7 @@
                                            time_point deadline, const std::optional<database_answer>& answer,
                                            const backend_failure& failure, const caller_responder& respond) {
     if (!answer) {
-        target->group->note_write_failed();
+        target->group->note_write_failed(failure.progress);
         close(target);
         if (failure.progress != request_progress::sent) {
             refuse(respond, target, failure.reason);
@@ -275,8 +276,8 @@
                 return;
             }
             if (result == confirm_result::deadline) {
-                respond(caller_answer::unknown(error{error_code::replicas_not_acknowledging, "deadline_ms",
-                                                     {}, "query the outcome by key"}));
+                respond(caller_answer::unknown(error{
+                    error_code::replicas_not_acknowledging, "deadline_ms", {}, "query the outcome by key"}));
                 return;
             }
             caller_answer reply;
--- a/gentianhill/daemon/transaction_service.h
+++ b/gentianhill/daemon/transaction_service.h
@@ -13,8 +13,8 @@
 
 namespace gentianhill {
 
-/// Open transactions of callers. Each is bound to the caller's connection and to one pinned connection of the primary
-/// under one term; when either goes, the database rolls back.
+/// Open transactions of callers. Each is bound to the caller's connection and to one pinned connection of the
+/// primary under one term; when either goes, the database rolls back.
 class transaction_service {
 public:
     /// Finds out what became of a keyed commit whose answer was lost.
--- a/gentianhill/daemon/write_task.cpp
+++ b/gentianhill/daemon/write_task.cpp
@@ -54,8 +54,8 @@
 
 void write_task::answer_from_record(const std::optional<key_record>& record, const database_answer& answer,
                                     const error& duplicate) {
-    // Without a record of the key, the caller's own statement violated a constraint. An earlier attempt that got no
-    // answer may still arrive and find the constraint satisfied, so the outcome is then unknown.
+    // Without a record of the key, the caller's own statement violated a constraint. An earlier attempt that
+    // got no answer may still arrive and find the constraint satisfied, so the outcome is then unknown.
     if (!record) {
         give_up(duplicate);
         return;
--- a/gentianhilld/main.cpp
+++ b/gentianhilld/main.cpp
@@ -49,7 +49,7 @@
     bool print_settings = false;
     for (std::vector<std::string>::iterator flag = flags.begin(); flag != flags.end();) {
         if (*flag == "--help") {
-            fmt::print("{}", settings_help());
+            fmt::print("{}", settings_help(daemon_setting_definitions()));
             return 0;
         }
         if (*flag == "--print-settings") {
