--- a/gentianhill/daemon/group_runtime.cpp
+++ b/gentianhill/daemon/group_runtime.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+constexpr std::size_t max_teams = 1000;
+/// Weight of a team that no ticket sets.
+constexpr double default_team_weight = 100.0;
+
 position_tracker_settings position_settings_for(const daemon_settings& settings) {
     position_tracker_settings result;
     result.confirm_stall_limit = settings.confirm_stall_limit;
@@ -101,7 +105,7 @@
 }
 
 bool group_runtime::merge(const nlohmann::json& view, std::optional<time_point> asked_at, error& reason) {
-    if (!view_.merge(view, asked_at, reason)) {
+    if (!view_.merge(view, asked_at, event_loop::now(), reason)) {
         return false;
     }
     after_change();
@@ -176,13 +180,31 @@
     return primary_ ? gateway(*primary_) : nullptr;
 }
 
-void group_runtime::set_team(const std::string& team, double weight) {
-    teams_[team] = weight;
+void group_runtime::set_teams(const std::map<std::string, double>& teams, bool admits_all) {
+    admits_all_teams_ = admits_all;
+    teams_ = teams;
     for (std::pair<const std::string, instance_runtime>& entry : instances_) {
-        entry.second.gateway->set_team(team, weight);
+        for (const std::pair<const std::string, double>& team : teams_) {
+            entry.second.gateway->set_team(team.first, team.second);
+        }
     }
 }
 
+bool group_runtime::has_team(const std::string& team) {
+    if (teams_.contains(team)) {
+        return true;
+    }
+    // Bounded, since the names come from callers.
+    if (!admits_all_teams_ || teams_.size() >= max_teams) {
+        return false;
+    }
+    teams_.emplace(team, default_team_weight);
+    for (std::pair<const std::string, instance_runtime>& entry : instances_) {
+        entry.second.gateway->set_team(team, default_team_weight);
+    }
+    return true;
+}
+
 void group_runtime::set_leaving(const std::string& instance, bool leaving) {
     instance_gateway* found = gateway(instance);
     if (found == nullptr || found->is_leaving() == leaving) {
@@ -246,20 +268,19 @@
 }
 
 void group_runtime::note_write_sent() {
-    ++writes_in_flight_;
     detector_.on_write_sent(event_loop::now());
 }
 
 void group_runtime::note_write_executed(const log_position& position) {
     const time_point now = event_loop::now();
-    --writes_in_flight_;
     view_.positions().on_write_executed(position, now);
     detector_.on_write_executed(now);
 }
 
-void group_runtime::note_write_failed() {
-    --writes_in_flight_;
-    detector_.on_write_ended(writes_in_flight_, event_loop::now());
+void group_runtime::note_write_failed(request_progress progress) {
+    const time_point now = event_loop::now();
+    progress == request_progress::answered ? detector_.on_write_rejected(now)
+                                           : detector_.on_write_unanswered(now);
 }
 
 nlohmann::json group_runtime::to_json(time_point now) {
--- a/gentianhill/daemon/primary_task.cpp
+++ b/gentianhill/daemon/primary_task.cpp
@@ -129,7 +129,7 @@
     if (answer) {
         group_.note_write_executed(answer->at);
     } else {
-        group_.note_write_failed();
+        group_.note_write_failed(failure.progress);
     }
     if (awaited_ != attempt_number) {
         return;
--- a/gentianhill/daemon/transaction_service.cpp
+++ b/gentianhill/daemon/transaction_service.cpp
@@ -254,7 +254,7 @@
                                            time_point deadline, const std::optional<database_answer>& answer,
                                            const backend_failure& failure, const caller_responder& respond) {
     if (!answer) {
-        target->group->note_write_failed();
+        target->group->note_write_failed(failure.progress);
         close(target);
         if (failure.progress != request_progress::sent) {
             refuse(respond, target, failure.reason);
