Probe silent replicas once per read, and prepare the token key once

Each token set up HMAC anew, and a release of an idle connection searched the whole idle list.

Ruled out: repeating the short wait while a replica stays silent, because reads would wait max_wait for an instance that hangs; a read waits for it once.

Change: replica_selector treats an instance without a report like one with a stale report; token_codec copies a prepared EVP_MAC context; connection_pool searches the idle list from its recently used end.

--- a/gentianhill/admission/connection_pool.cpp
+++ b/gentianhill/admission/connection_pool.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <string>
 
 namespace gentianhill {
@@ -76,10 +77,11 @@
 void connection_pool::change_state(slot& changed, connection_state state) {
     --count_of(changed.state);
     if (changed.state == connection_state::idle) {
-        const std::vector<std::uint32_t>::iterator found =
-            std::find(idle_.begin(), idle_.end(), slot_index_of(changed.id));
-        assert(found != idle_.end());
-        idle_.erase(found);
+        // From the back, where acquire() takes it.
+        const std::vector<std::uint32_t>::reverse_iterator found =
+            std::find(idle_.rbegin(), idle_.rend(), slot_index_of(changed.id));
+        assert(found != idle_.rend());
+        idle_.erase(std::next(found).base());
     }
     changed.state = state;
     ++count_of(state);
--- a/gentianhill/consistency/replica_selector.cpp
+++ b/gentianhill/consistency/replica_selector.cpp
@@ -11,8 +11,9 @@
 constexpr std::size_t no_index = SIZE_MAX;
 
 bool takes_work(const read_candidate& candidate) {
-    return candidate.reachable && !candidate.leaving && candidate.report != nullptr &&
-           !candidate.report->leaving && candidate.report->initialised;
+    const bool is_refused_by_itself =
+        candidate.report != nullptr && (candidate.report->leaving || !candidate.report->initialised);
+    return candidate.reachable && !candidate.leaving && !is_refused_by_itself;
 }
 
 bool is_fresh_enough(const read_request& request, const read_candidate& candidate) {
@@ -39,9 +40,16 @@
     std::size_t primary = no_index;
     std::size_t catching_up = no_index;
     duration catch_up{0};
-    std::size_t too_old = no_index;
-    std::size_t unheard = no_index;
+    /// An instance whose next report may make it fit, when nothing can be predicted.
+    std::size_t awaited = no_index;
     bool ahead_of_history = false;
+
+    void consider(std::size_t index, const std::optional<duration>& expected) {
+        if (expected && (catching_up == no_index || *expected < catch_up)) {
+            catching_up = index;
+            catch_up = *expected;
+        }
+    }
 };
 
 replica_selector::replica_selector(const replica_selector_settings& settings) : settings_(settings) {}
@@ -51,10 +59,15 @@
     return candidate.load + zone_cost + (candidate.is_primary ? settings_.primary_cost : 0.0);
 }
 
+std::optional<duration> replica_selector::catch_up_of_silent(const read_request& request) const {
+    // One short wait per read; an instance that stays silent must not delay it further.
+    return request.waited < settings_.min_wait ? std::optional{settings_.min_wait} : std::nullopt;
+}
+
 std::optional<duration> replica_selector::expected_catch_up(const read_request& request,
                                                             const read_candidate& candidate) const {
     if (request.now - candidate.report->received_at >= settings_.report_stale_after) {
-        return settings_.min_wait;
+        return catch_up_of_silent(request);
     }
     const log_position& last = candidate.report->last;
     std::optional<duration> expected;
@@ -78,20 +91,21 @@
     survey found;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const read_candidate& candidate = candidates[index];
-        // An instance that was never heard of may turn out to be fit by its first report.
-        if (candidate.report == nullptr && candidate.reachable && !candidate.leaving) {
-            found.unheard = index;
-        }
         if (!takes_work(candidate)) {
             continue;
         }
+        if (candidate.report == nullptr) {
+            found.consider(index, catch_up_of_silent(request));
+            found.awaited = index;
+            continue;
+        }
         const eligibility state = state_for(request, candidate);
         if (state == eligibility::ahead_of_history) {
             found.ahead_of_history = true;
             continue;
         }
         if (state == eligibility::eligible && !is_fresh_enough(request, candidate)) {
-            found.too_old = index;
+            found.awaited = index;
             continue;
         }
         if (state == eligibility::eligible) {
@@ -104,11 +118,7 @@
             }
             continue;
         }
-        const std::optional<duration> expected = expected_catch_up(request, candidate);
-        if (expected && (found.catching_up == no_index || *expected < found.catch_up)) {
-            found.catching_up = index;
-            found.catch_up = *expected;
-        }
+        found.consider(index, expected_catch_up(request, candidate));
     }
     return found;
 }
@@ -157,9 +167,8 @@
     }
     // Data that is too old by the last report may be younger by the next one.
     const duration budget = wait_budget(request, has_primary);
-    const std::size_t awaited = found.too_old != no_index ? found.too_old : found.unheard;
-    if (awaited != no_index && budget >= settings_.min_wait) {
-        return wait_for{awaited, budget};
+    if (found.awaited != no_index && budget >= settings_.min_wait) {
+        return wait_for{found.awaited, budget};
     }
     if (found.ahead_of_history) {
         return refusal(error_code::token_ahead_of_history, "a token of the present history");
--- a/gentianhill/consistency/replica_selector.h
+++ b/gentianhill/consistency/replica_selector.h
@@ -116,6 +116,7 @@
     [[nodiscard]] double cost(const read_request& request, const read_candidate& candidate) const;
     [[nodiscard]] survey examine(const read_request& request,
                                  std::span<const read_candidate> candidates) const;
+    [[nodiscard]] std::optional<duration> catch_up_of_silent(const read_request& request) const;
     [[nodiscard]] std::optional<duration> expected_catch_up(const read_request& request,
                                                             const read_candidate& candidate) const;
     [[nodiscard]] duration wait_budget(const read_request& request, bool primary_available) const;
--- a/gentianhill/consistency/token_codec.cpp
+++ b/gentianhill/consistency/token_codec.cpp
@@ -1,9 +1,10 @@
 #include "gentianhill/consistency/token_codec.h"
 
 #include <fmt/format.h>
+#include <openssl/core_names.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
 #include <algorithm>
 #include <cassert>
@@ -107,7 +108,10 @@
 
 } // namespace
 
-token_codec::token_codec(token_codec_settings settings) : settings_(std::move(settings)) {}
+token_codec::token_codec(token_codec_settings settings)
+    : settings_(std::move(settings)),
+      signing_(prepare(settings_.signing_key)),
+      previous_(prepare(settings_.previous_key)) {}
 
 std::optional<token_codec> token_codec::create(token_codec_settings settings, error& reason) {
     const std::string allowed = fmt::format("at least {} bytes", min_key_bytes);
@@ -124,13 +128,32 @@
     return token_codec{std::move(settings)};
 }
 
-token_codec::signature token_codec::sign(const std::string& key, const std::uint8_t* data,
-                                         std::size_t length) {
+token_codec::keyed_mac token_codec::prepare(const std::string& key) {
+    if (key.empty()) {
+        return nullptr;
+    }
+    EVP_MAC* mac = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+    EVP_MAC_CTX* context = EVP_MAC_CTX_new(mac);
+    EVP_MAC_free(mac);
+    std::string digest = "SHA256";
+    const std::array<OSSL_PARAM, 2> parameters{
+        OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(), 0),
+        OSSL_PARAM_construct_end()};
+    const int ready = EVP_MAC_init(context, reinterpret_cast<const unsigned char*>(key.data()), key.size(),
+                                   parameters.data());
+    assert(ready == 1);
+    static_cast<void>(ready);
+    return keyed_mac{context, &EVP_MAC_CTX_free};
+}
+
+token_codec::signature token_codec::sign(const keyed_mac& key, const std::uint8_t* data, std::size_t length) {
+    // A copy of the prepared state; setting up HMAC for each token took most of the time.
+    const keyed_mac context{EVP_MAC_CTX_dup(key.get()), &EVP_MAC_CTX_free};
     std::array<std::uint8_t, EVP_MAX_MD_SIZE> digest{};
-    unsigned int digest_length = 0;
-    const std::uint8_t* made = HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), data, length,
-                                    digest.data(), &digest_length);
-    assert(made != nullptr && digest_length >= signature_bytes);
+    std::size_t digest_length = 0;
+    const bool made = EVP_MAC_update(context.get(), data, length) == 1 &&
+                      EVP_MAC_final(context.get(), digest.data(), &digest_length, digest.size()) == 1;
+    assert(made && digest_length >= signature_bytes);
     static_cast<void>(made);
     signature result{};
     std::copy_n(digest.begin(), signature_bytes, result.begin());
@@ -138,14 +161,14 @@
 }
 
 bool token_codec::is_signed(const std::uint8_t* data, std::size_t length, const std::uint8_t* found) const {
-    const signature current = sign(settings_.signing_key, data, length);
+    const signature current = sign(signing_, data, length);
     if (CRYPTO_memcmp(current.data(), found, signature_bytes) == 0) {
         return true;
     }
-    if (settings_.previous_key.empty()) {
+    if (previous_ == nullptr) {
         return false;
     }
-    const signature previous = sign(settings_.previous_key, data, length);
+    const signature previous = sign(previous_, data, length);
     return CRYPTO_memcmp(previous.data(), found, signature_bytes) == 0;
 }
 
@@ -167,7 +190,7 @@
         reason = too_large_token((bytes.size() + signature_bytes + 2) / 3 * 4);
         return std::nullopt;
     }
-    const signature made = sign(settings_.signing_key, bytes.data(), bytes.size());
+    const signature made = sign(signing_, bytes.data(), bytes.size());
     bytes.insert(bytes.end(), made.begin(), made.end());
     return to_base64url(bytes);
 }
--- a/gentianhill/consistency/token_codec.h
+++ b/gentianhill/consistency/token_codec.h
@@ -7,11 +7,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+struct evp_mac_ctx_st;
+
 namespace gentianhill {
 
 /// Keys of the session tokens; equal on all daemons of a deployment.
@@ -46,15 +49,19 @@
 private:
     static constexpr std::size_t signature_bytes = 16;
     using signature = std::array<std::uint8_t, signature_bytes>;
+    using keyed_mac = std::shared_ptr<evp_mac_ctx_st>;
 
     explicit token_codec(token_codec_settings settings);
-    [[nodiscard]] static signature sign(const std::string& key, const std::uint8_t* data, std::size_t length);
+    [[nodiscard]] static keyed_mac prepare(const std::string& key);
+    [[nodiscard]] static signature sign(const keyed_mac& key, const std::uint8_t* data, std::size_t length);
     [[nodiscard]] bool is_signed(const std::uint8_t* data, std::size_t length,
                                  const std::uint8_t* found) const;
     [[nodiscard]] std::optional<session_token> read_positions(const std::vector<std::uint8_t>& bytes,
                                                               std::size_t end, error& reason) const;
 
     token_codec_settings settings_;
+    keyed_mac signing_;
+    keyed_mac previous_;
 };
 
 } // namespace gentianhill
--- a/tests/consistency/replica_selector_tests.cpp
+++ b/tests/consistency/replica_selector_tests.cpp
@@ -116,6 +116,13 @@
     const wait_for wait = std::get<wait_for>(choose());
     CHECK(wait.index == 2);
     CHECK(wait.limit <= milliseconds{10});
+    request.waited = wait.limit;
+    CHECK(std::get<use_primary>(choose()).index == 0);
+    request.waited = duration{0};
+    candidates[2].report = nullptr;
+    CHECK(std::get<wait_for>(choose()).index == 2);
+    request.waited = wait.limit;
+    CHECK(std::get<use_primary>(choose()).index == 0);
 }
 
 // Guards against reads that fail while a replica could still catch up before the deadline.
