Add failure tests of the guarantees over daemons and stand-ins on one loop

Cause: each guarantee needs a test that brings about the failure it guards against. Ruled out: sleeps in tests; all waits are for conditions with a limit. Change: tests/daemon, hand-over of a primary whose backend server is leaving.

--- a/gentianhill/daemon/group_runtime.cpp
+++ b/gentianhill/daemon/group_runtime.cpp
@@ -273,12 +273,14 @@
 
 void group_runtime::note_write_executed(const log_position& position) {
     const time_point now = event_loop::now();
+    --writes_sent_;
     view_.positions().on_write_executed(position, now);
     detector_.on_write_executed(now);
 }
 
 void group_runtime::note_write_failed(request_progress progress) {
     const time_point now = event_loop::now();
+    --writes_sent_;
     progress == request_progress::answered ? detector_.on_write_rejected(now)
                                            : detector_.on_write_unanswered(now);
 }
--- a/gentianhill/daemon/group_runtime.h
+++ b/gentianhill/daemon/group_runtime.h
@@ -69,6 +69,8 @@
     void note_write_sent();
     void note_write_executed(const log_position& position);
     void note_write_failed(request_progress progress);
+    /// True while a write was sent or waits for confirmation.
+    [[nodiscard]] bool has_writes_in_flight() const { return writes_sent_ > 0 || waiters_.has_confirms(); }
     /// False when new writes must be rejected, since replicas do not acknowledge earlier ones.
     [[nodiscard]] bool accepts_writes(time_point now) const { return view_.positions().acknowledging(now); }
 
@@ -106,6 +108,7 @@
     log_position confirmed_;
     std::map<std::uint64_t, std::function<void()>> observers_;
     std::uint64_t next_observer_ = 1;
+    std::size_t writes_sent_ = 0;
     bool advancing_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/gentianhill/daemon/promotion_driver.cpp
+++ b/gentianhill/daemon/promotion_driver.cpp
@@ -15,6 +15,10 @@
 constexpr duration promote_timeout = std::chrono::milliseconds{1000};
 /// Pause after a failed attempt, so that two coordinators do not fence each other without end.
 constexpr duration retry_pause = std::chrono::milliseconds{500};
+/// Time for all daemons to learn that the primary's backend server is leaving.
+constexpr duration hand_over_notice = std::chrono::milliseconds{500};
+/// A leaving primary is replaced after this time even while writes are in flight.
+constexpr duration hand_over_limit = std::chrono::milliseconds{1500};
 
 std::string milliseconds_between(const std::optional<time_point>& from, const std::optional<time_point>& to) {
     return from && to ? std::to_string(to_milliseconds(*to - *from)) : std::string{};
@@ -38,6 +42,10 @@
 promotion_hooks promotion_driver::hooks_for_attempt() {
     promotion_hooks hooks;
     hooks.ask_peers = [this]() -> std::size_t {
+        // Peers hear from a primary that is leaving, or that answers without committing; that is no reason to wait.
+        if (skip_opinions_) {
+            return 0;
+        }
         const std::weak_ptr<bool> alive = alive_;
         const position_tracker& positions = group_.view().positions();
         return hooks_.ask_other_zones(group_.name(), positions.primary().value_or(""),
@@ -78,6 +86,7 @@
         attempt_.tick(now);
     } else {
         start_if_suspected(now);
+        start_if_leaving(now);
     }
     if (now >= next_claim_check_) {
         // Spread over daemons and groups, so that a returning platform is not met by all at once.
@@ -94,27 +103,49 @@
 
 void promotion_driver::start_if_suspected(time_point now) {
     const primary_assessment assessment = group_.detector().assessment(now);
-    if (assessment.health != primary_health::suspected || now < next_attempt_) {
+    if (assessment.health == primary_health::suspected && now >= next_attempt_) {
+        skip_opinions_ = assessment.reason == suspicion_reason::not_committing ||
+                   assessment.reason == suspicion_reason::not_confirming;
+        start(std::string{to_string(assessment.reason)}, {}, now);
+    }
+}
+
+void promotion_driver::start_if_leaving(time_point now) {
+    const instance_gateway* primary = group_.primary_gateway();
+    if (primary == nullptr || !primary->is_leaving()) {
+        leaving_since_.reset();
         return;
     }
+    if (!leaving_since_) {
+        leaving_since_ = now;
+    }
+    // By then all daemons have stopped sending writes, and those in flight have ended or will not.
+    const duration waited = now - *leaving_since_;
+    const bool is_quiet = !group_.has_writes_in_flight() && waited >= hand_over_notice;
+    if ((is_quiet || waited >= hand_over_limit) && now >= next_attempt_) {
+        skip_opinions_ = true;
+        start("leaving", primary->configuration().name, now);
+    }
+}
+
+void promotion_driver::start(const std::string& reason, const std::string& excluded, time_point now) {
     const std::optional<std::size_t> place = rank();
     if (!place) {
         return;
     }
     const position_tracker& positions = group_.view().positions();
-    const event_id suspected = context_.record(event_kind::suspected, group_.name(),
-                                               {{"primary", positions.primary().value_or("")},
-                                                {"reason", std::string{to_string(assessment.reason)}},
-                                                {"rank", std::to_string(*place)}});
+    const event_id suspected = context_.record(
+        event_kind::suspected, group_.name(),
+        {{"primary", positions.primary().value_or("")}, {"reason", reason}, {"rank", std::to_string(*place)}});
     attempt_event_ = context_.record(event_kind::attempt_started, group_.name(),
                                      {{"base_term", std::to_string(positions.primary_term())}}, suspected);
-    context_.log.write(log_level::warning, "promotion", "primary_suspected",
+    context_.log.write(log_level::warning, "promotion", "attempt_started",
                        {{"group", group_.name()},
                         {"primary", positions.primary().value_or("none")},
                         {"term", positions.primary_term()},
-                        {"reason", to_string(assessment.reason)},
+                        {"reason", reason},
                         {"rank", *place}});
-    attempt_.start(positions.primary_term(), *place, now);
+    attempt_.start(positions.primary_term(), *place, now, excluded);
 }
 
 void promotion_driver::keep_claims(time_point now) {
--- a/gentianhill/daemon/promotion_driver.h
+++ b/gentianhill/daemon/promotion_driver.h
@@ -52,6 +52,8 @@
 private:
     [[nodiscard]] promotion_hooks hooks_for_attempt();
     void start_if_suspected(time_point now);
+    void start_if_leaving(time_point now);
+    void start(const std::string& reason, const std::string& excluded, time_point now);
     void keep_claims(time_point now);
     void reconcile_instances(time_point now);
     void send_fence(const std::string& instance, term_number term);
@@ -71,6 +73,8 @@
     time_point next_claim_check_;
     time_point next_reconcile_;
     time_point next_attempt_;
+    std::optional<time_point> leaving_since_;
+    bool skip_opinions_ = false;
     std::optional<event_id> attempt_event_;
     std::optional<promotion_result> last_result_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/gentianhill/promotion/promotion.cpp
+++ b/gentianhill/promotion/promotion.cpp
@@ -58,7 +58,8 @@
     hooks_.on_finished(promotion_result{failure, term_, chosen_, times_, now});
 }
 
-void promotion::start(term_number base_term, std::size_t rank, time_point now) {
+void promotion::start(term_number base_term, std::size_t rank, time_point now,
+                      const std::string& excluded) {
     if (is_running()) {
         return;
     }
@@ -70,6 +71,7 @@
     term_ = 0;
     rank_ = rank;
     chosen_.clear();
+    excluded_ = excluded;
     times_ = promotion_times{};
     times_.detected = now;
 
@@ -92,14 +94,14 @@
             hooks_.query_status(target.name);
             break;
         case promotion_phase::fencing:
-            if (!target.fenced) {
+            if (!target.fenced && target.name != excluded_) {
                 hooks_.fence(target.name, term_);
             }
             break;
         case promotion_phase::checking:
             if (target.in_round) {
                 hooks_.query_status(target.name);
-            } else if (!target.fenced) {
+            } else if (!target.fenced && target.name != excluded_) {
                 hooks_.fence(target.name, term_);
             }
             break;
--- a/gentianhill/promotion/promotion.h
+++ b/gentianhill/promotion/promotion.h
@@ -126,8 +126,9 @@
               promotion_hooks hooks);
 
     /// Starts an attempt against the primary of `base_term`. `rank` is this daemon's place among the
-    /// coordinators. Nothing happens while an attempt is under way.
-    void start(term_number base_term, std::size_t rank, time_point now);
+    /// coordinators. An instance named in `excluded` is neither fenced nor chosen: a primary whose backend server is
+    /// leaving hands over to another one. Nothing happens while an attempt is under way.
+    void start(term_number base_term, std::size_t rank, time_point now, const std::string& excluded = {});
     /// Ends an attempt that has not fenced anything yet.
     void cancel(time_point now);
     /// Discards an attempt that has not begun to promote, after the process was paused; later phases are safe
@@ -195,6 +196,7 @@
     std::size_t rank_ = 0;
     std::size_t opinions_awaited_ = 0;
     std::string chosen_;
+    std::string excluded_;
     promotion_times times_;
 };
 
--- /dev/null
+++ b/tests/daemon/promotion_tests.cpp
@@ -0,0 +1,120 @@
+#include "deployment.h"
+
+#include <doctest/doctest.h>
+
+using namespace gentianhill;
+using namespace gentianhill::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct promotion_fixture : deployment {
+    int next_id = 1;
+
+    nlohmann::json insert(const std::string& daemon, int deadline_ms = 10000) {
+        const int id = next_id++;
+        return write(daemon, "INSERT INTO builds VALUES (?, 32)", nlohmann::json::array({id}),
+                     "build-" + std::to_string(id), deadline_ms);
+    }
+};
+
+} // namespace
+
+// Guards against a crash of the primary that nobody answers, and against a gap above the target of 5 s.
+TEST_CASE_FIXTURE(promotion_fixture, "promotion_primary_crashes_writes_go_on_within_five_seconds") {
+    start_all(20);
+    REQUIRE(insert("kyushu-a-1")["status"] == "done");
+    crash_instance("wheeldb-1a");
+    const time_point lost = event_loop::now();
+    const nlohmann::json written = insert("kyushu-b-1");
+    REQUIRE_MESSAGE(written["status"] == "done", written.dump());
+    const duration gap = event_loop::now() - lost;
+    MESSAGE("failover gap in ms: ", to_milliseconds(gap));
+    CHECK(gap <= 5s);
+    CHECK(primary_at("kyushu-b-1") != "wheeldb-1a");
+}
+
+// Guards against a primary that is cut off from its replicas and goes on confirming writes of its clients.
+TEST_CASE_FIXTURE(promotion_fixture, "promotion_primary_cut_off_from_replicas_confirms_nothing_more") {
+    start_all(20);
+    REQUIRE(insert("kyushu-a-1")["status"] == "done");
+    set_faults("wheeldb-1a", {{"drop_replication", true}});
+    const nlohmann::json cut = insert("kyushu-a-1", 400);
+    CHECK(cut["status"] == "outcome_unknown");
+    const nlohmann::json later = insert("kyushu-b-1");
+    REQUIRE_MESSAGE(later["status"] == "done", later.dump());
+    CHECK(primary_at("kyushu-b-1") != "wheeldb-1a");
+    // The outcome of the write that was cut off is settled, and is the same everywhere.
+    const nlohmann::json outcome =
+        call("kyushu-b-1", "/v1/outcome",
+             {{"group", "wheeldb-1"}, {"team", "shops"}, {"key", "build-2"}, {"deadline_ms", 5000}});
+    const nlohmann::json found =
+        read("kyushu-a-1", "SELECT count(*) FROM builds WHERE id = 2", outcome["token"]);
+    CHECK(found["rows"][0][0] == (outcome["status"] == "done" ? 1 : 0));
+    CHECK(outcome["status"] != "outcome_unknown");
+}
+
+// Guards against a primary that accepts connections and probes but never commits.
+TEST_CASE_FIXTURE(promotion_fixture, "promotion_primary_never_commits_is_replaced") {
+    start_all(20);
+    REQUIRE(insert("kyushu-a-1")["status"] == "done");
+    set_faults("wheeldb-1a", {{"refuse_commit", true}});
+    const nlohmann::json written = insert("kyushu-a-1");
+    REQUIRE_MESSAGE(written["status"] == "done", written.dump());
+    CHECK(primary_at("kyushu-a-1") != "wheeldb-1a");
+}
+
+// Guards against a returned primary whose diverged tail shows up again.
+TEST_CASE_FIXTURE(promotion_fixture, "promotion_old_primary_returns_and_cuts_off_its_tail") {
+    start_all(20);
+    REQUIRE(insert("kyushu-a-1")["status"] == "done");
+    set_faults("wheeldb-1a", {{"drop_replication", true}});
+    CHECK(insert("kyushu-a-1", 300)["status"] == "outcome_unknown");
+    REQUIRE(insert("kyushu-b-1")["status"] == "done");
+    set_faults("wheeldb-1a", {{"drop_replication", false}});
+    wait_for("the old primary to follow", [this] {
+        const instance_report* report =
+            daemons["kyushu-b-1"]->find_group("wheeldb-1")->view().positions().report_of("wheeldb-1a");
+        const log_position confirmed =
+            daemons["kyushu-b-1"]->find_group("wheeldb-1")->view().positions().confirmed();
+        return report != nullptr && !report->is_primary && report->last >= confirmed;
+    });
+    CHECK(insert("kyushu-a-1")["status"] == "done");
+}
+
+// Guards against an instance that lost its state and is counted in a majority before it was admitted again.
+TEST_CASE_FIXTURE(promotion_fixture, "promotion_instance_without_state_is_admitted_again") {
+    start_all(20);
+    REQUIRE(insert("kyushu-a-1")["status"] == "done");
+    crash_instance("wheeldb-1c");
+    run_for(300ms);
+    restart_instance("wheeldb-1c");
+    wait_for("wheeldb-1c to be admitted", [this] {
+        const instance_report* report =
+            daemons["kyushu-b-1"]->find_group("wheeldb-1")->view().positions().report_of("wheeldb-1c");
+        return report != nullptr && report->initialised && report->last.position > 0;
+    });
+    crash_instance("wheeldb-1b");
+    CHECK(insert("kyushu-a-1")["status"] == "done");
+}
+
+// Guards against a second loss during the recovery from the first, with the platform down.
+TEST_CASE_FIXTURE(promotion_fixture, "promotion_second_primary_lost_while_platform_is_down_keeps_confirmed_writes") {
+    start_all(20);
+    REQUIRE(insert("kyushu-a-1")["status"] == "done");
+    set_platform_faults({{"down", true}});
+    crash_instance("wheeldb-1a");
+    REQUIRE(insert("kyushu-b-1")["status"] == "done");
+    restart_instance("wheeldb-1a");
+    wait_for("wheeldb-1a to be admitted", [this] {
+        const instance_report* report =
+            daemons["kyushu-b-1"]->find_group("wheeldb-1")->view().positions().report_of("wheeldb-1a");
+        return report != nullptr && report->initialised && report->last.position > 0;
+    });
+    const std::string second = primary_at("kyushu-b-1");
+    crash_instance(second);
+    const nlohmann::json written = insert("kyushu-a-1");
+    REQUIRE_MESSAGE(written["status"] == "done", written.dump());
+    const nlohmann::json found = read("kyushu-b-1", "SELECT count(*) FROM builds", written["token"]);
+    CHECK(found["rows"][0][0] == 3);
+}
