--- a/gentianhill/promotion/promotion.cpp
+++ b/gentianhill/promotion/promotion.cpp
@@ -87,6 +87,12 @@
     }
 }
 
+void promotion::on_loop_gap(time_point now) {
+    if (is_running() && phase_ != promotion_phase::promoting && phase_ != promotion_phase::following) {
+        finish(promotion_failure::cancelled, now);
+    }
+}
+
 void promotion::send_requests() {
     for (const member& target : members_) {
         switch (phase_) {
