Count failed openings for the grace time and bound the rate estimate

Cause: an opening that timed out at the daemon may have been accepted by the instance, so its replacement could exceed the limit. A queue in front of an instance that stood still, as during a failover, kept a service rate near 0 and then refused all but one request at a time.

Ruled out: an estimate that forgets with time, because a slow instance would be flooded after each quiet moment.

Change: connection_pool::failed starts the grace time like closed; fair_queue_settings.min_service_rate, 20 per second.

--- a/gentianhill/admission/connection_pool.cpp
+++ b/gentianhill/admission/connection_pool.cpp
@@ -107,6 +107,15 @@
     counts_.in_grace = grace_ends_.size();
 }
 
+void connection_pool::start_grace(time_point now) {
+    forget_grace(now);
+    // Times are passed in ascending order, so the ends stay sorted.
+    if (settings_.close_grace > duration{0}) {
+        grace_ends_.push_back(now + settings_.close_grace);
+        counts_.in_grace = grace_ends_.size();
+    }
+}
+
 std::optional<connection_pool::connection_id> connection_pool::acquire(error& reason) {
     if (draining_) {
         reason = error{error_code::leaving, "instance", {}, "another instance"};
@@ -226,6 +235,8 @@
         return false;
     }
     free_slot(*found);
+    // The instance may have accepted a connection whose opening timed out here.
+    start_grace(now);
     // Each pause lies between half and all of a doubling length.
     constexpr std::uint32_t max_doublings = 16;
     const duration full =
@@ -260,12 +271,7 @@
         return false;
     }
     free_slot(*found);
-    // Times are passed in ascending order, so the ends stay sorted.
-    forget_grace(now);
-    if (settings_.close_grace > duration{0}) {
-        grace_ends_.push_back(now + settings_.close_grace);
-        counts_.in_grace = grace_ends_.size();
-    }
+    start_grace(now);
     return true;
 }
 
--- a/gentianhill/admission/connection_pool.h
+++ b/gentianhill/admission/connection_pool.h
@@ -21,7 +21,8 @@
     std::size_t min_idle = 1;
     /// Idle connections above `min_idle` are closed after this time.
     duration idle_limit = std::chrono::seconds{60};
-    /// A closed connection still counts for this time, because the instance notices the close later.
+    /// A closed connection still counts for this time, because the instance notices the close later; so does
+    /// one whose opening failed, because the instance may have accepted it.
     duration close_grace = std::chrono::milliseconds{50};
     /// Pause after the first failed opening; doubles with each further one.
     duration backoff_initial = std::chrono::milliseconds{50};
@@ -113,6 +114,7 @@
     [[nodiscard]] std::size_t& count_of(connection_state state);
     void change_state(slot& changed, connection_state state);
     void forget_grace(time_point now);
+    void start_grace(time_point now);
     void free_slot(slot& freed);
     void become_idle(slot& target, time_point now);
 
--- a/gentianhill/admission/fair_queue.cpp
+++ b/gentianhill/admission/fair_queue.cpp
@@ -199,6 +199,7 @@
     }
     const double seconds = std::chrono::duration<double>(now - window_start_).count();
     service_rate_ += settings_.rate_smoothing * (window_cost_ / seconds - service_rate_);
+    service_rate_ = std::max(service_rate_, settings_.min_service_rate);
     window_start_ = now;
     window_cost_ = 0.0;
 }
--- a/gentianhill/admission/fair_queue.h
+++ b/gentianhill/admission/fair_queue.h
@@ -25,6 +25,9 @@
     duration execution_reserve = std::chrono::milliseconds{20};
     /// Assumed service rate, in cost per second, until one has been observed.
     double initial_service_rate = 1000.0;
+    /// Lowest estimate of the service rate. A resource that stood still for a while would otherwise leave an
+    /// estimate near 0, and requests would be refused after it has recovered.
+    double min_service_rate = 20.0;
     /// Time over which served cost is counted before it becomes one observation of the service rate.
     duration rate_window = std::chrono::milliseconds{20};
     /// Weight of a new observation of the service rate, above 0 and at most 1.
--- a/tests/admission/connection_pool_tests.cpp
+++ b/tests/admission/connection_pool_tests.cpp
@@ -156,6 +156,12 @@
     CHECK_FALSE(pool.next_to_open(5, now + settings.close_grace - duration{1}));
     CHECK_FALSE(pool.acquire(reason));
     CHECK(reason.code == error_code::connection_limit);
+    now += settings.close_grace;
+    // The same after an opening that timed out, which the instance may have accepted.
+    const std::optional<connection_id> late = pool.next_to_open(5, now);
+    REQUIRE(late);
+    CHECK(pool.failed(*late, now, 0.0));
+    CHECK_FALSE(pool.next_to_open(5, now + settings.close_grace - duration{1}));
     CHECK(pool.next_to_open(5, now + settings.close_grace));
 }
 
--- a/tests/admission/fair_queue_tests.cpp
+++ b/tests/admission/fair_queue_tests.cpp
@@ -172,13 +172,20 @@
 TEST_CASE_FIXTURE(queue_fixture, "service_rate_follows_the_pops_while_requests_wait") {
     queue.set_team("wheel", 1.0);
     for (int request = 0; request < 500; ++request) {
-        REQUIRE(push("wheel"));
+        REQUIRE(push("wheel", seconds{100000}));
     }
     for (int request = 0; request < 400; ++request) {
         now += milliseconds{10};
         REQUIRE(pop());
     }
     CHECK(queue.service_rate() == doctest::Approx(100.0).epsilon(0.05));
+    // A resource that stood still does not leave an estimate near 0.
+    for (int request = 0; request < 90; ++request) {
+        now += seconds{60};
+        REQUIRE(push("wheel", seconds{100000}));
+        REQUIRE(pop());
+    }
+    CHECK(queue.service_rate() == doctest::Approx(20.0));
 }
 
 // Guards against floods that fill the queue and keep all other teams out.
