Let requests end safely when a group or daemon goes

Cause: a daemon destroyed with requests in flight used its groups after they had gone (double free in outcome_after_daemon_died_is_found_through_another). Ruled out: keeping groups alive by shared ownership, which would keep connections open after a group was removed. Change: handlers do not run after their gateway has gone; tasks check that their group is alive. Conclusion: destruction order is groups before services.

--- a/gentianhill/daemon/connection_lease.cpp
+++ b/gentianhill/daemon/connection_lease.cpp
@@ -35,14 +35,15 @@
     connection_->call(path, std::move(body), timeout,
                       [alive, gateway, id, on_answer = std::move(on_answer)](
                           std::optional<database_answer> answer, const backend_failure& failure) {
-                          if (!alive.expired()) {
-                              const bool complete =
-                                  answer.has_value() || failure.progress == request_progress::answered;
-                              if (complete) {
-                                  gateway->pool_.end_exchange(id, true);
-                              }
-                              gateway->note_answer(answer, failure);
+                          if (alive.expired()) {
+                              return;
                           }
+                          const bool complete =
+                              answer.has_value() || failure.progress == request_progress::answered;
+                          if (complete) {
+                              gateway->pool_.end_exchange(id, true);
+                          }
+                          gateway->note_answer(answer, failure);
                           on_answer(std::move(answer), failure);
                       });
 }
--- a/gentianhill/daemon/connection_lease.h
+++ b/gentianhill/daemon/connection_lease.h
@@ -21,7 +21,8 @@
     connection_lease(const connection_lease&) = delete;
     connection_lease& operator=(const connection_lease&) = delete;
 
-    /// Sends one call; one at a time. The handler is called once, also when the lease has gone meanwhile.
+    /// Sends one call; one at a time. The handler is called once, also when the lease has gone meanwhile,
+    /// but not after the gateway has gone.
     void call(std::string_view path, nlohmann::json body, duration timeout,
               backend_connection::answer_handler on_answer);
     /// Keeps the connection for a transaction.
--- a/gentianhill/daemon/gentianhill_daemon.cpp
+++ b/gentianhill/daemon/gentianhill_daemon.cpp
@@ -95,12 +95,14 @@
 }
 
 gentianhill_daemon::~gentianhill_daemon() {
-    // The endpoint of callers goes first: its close handlers use the services.
+    // The groups go before the services: no handler of a request runs after its gateway has gone.
     callers_.reset();
-    statements_.reset();
     for (std::pair<const std::string, group_entry>& entry : groups_) {
         entry.second.driver.reset();
     }
+    groups_.clear();
+    retired_.clear();
+    statements_.reset();
 }
 
 service_context gentianhill_daemon::make_service_context(token_codec codec) {
--- a/gentianhill/daemon/group_runtime.cpp
+++ b/gentianhill/daemon/group_runtime.cpp
@@ -48,6 +48,10 @@
     }
 }
 
+group_runtime::~group_runtime() {
+    alive_.reset();
+}
+
 instance_gateway_hooks group_runtime::hooks_for(const std::string& instance) {
     instance_gateway_hooks hooks;
     hooks.on_report = [this](const instance_report& report) { on_report(report); };
--- a/gentianhill/daemon/group_runtime.h
+++ b/gentianhill/daemon/group_runtime.h
@@ -21,6 +21,7 @@
 class group_runtime {
 public:
     group_runtime(daemon_context& context, const group_configuration& configuration);
+    ~group_runtime();
     group_runtime(const group_runtime&) = delete;
     group_runtime& operator=(const group_runtime&) = delete;
 
@@ -29,6 +30,8 @@
     /// Ends the calls registered under this number.
     void forget(std::uint64_t observer) { observers_.erase(observer); }
 
+    /// Expires when the group goes; whoever may outlive it checks this first.
+    [[nodiscard]] std::weak_ptr<bool> alive() const { return alive_; }
     /// Starts to poll the instances.
     void start();
     /// Expires waits and queued requests; to be called every few milliseconds.
--- a/gentianhill/daemon/instance_gateway.cpp
+++ b/gentianhill/daemon/instance_gateway.cpp
@@ -51,7 +51,6 @@
     for (const connection_entry& entry : connections_) {
         entry.second->on_close = nullptr;
     }
-    refuse_waiting(error{error_code::draining, "instance", configuration_.name, "retry at another daemon"});
 }
 
 void instance_gateway::submit(const std::string& team, time_point deadline, ready_handler on_ready,
--- a/gentianhill/daemon/instance_gateway.h
+++ b/gentianhill/daemon/instance_gateway.h
@@ -43,8 +43,8 @@
     instance_gateway(const instance_gateway&) = delete;
     instance_gateway& operator=(const instance_gateway&) = delete;
 
-    /// Queues a request for a connection. Exactly one handler is called, from the loop.
-    /// Errors: unknown_team, queue_full, deadline_exceeded, leaving, draining.
+    /// Queues a request for a connection. Exactly one handler is called, from the loop, unless the gateway
+    /// goes. Errors: unknown_team, queue_full, deadline_exceeded, leaving.
     void submit(const std::string& team, time_point deadline, ready_handler on_ready,
                 refused_handler on_refused);
     /// Refuses all requests that wait, such as writes after a change of primary.
--- a/gentianhill/daemon/primary_task.cpp
+++ b/gentianhill/daemon/primary_task.cpp
@@ -202,10 +202,10 @@
 }
 
 void primary_task::stop_observing() {
-    if (observer_ != 0) {
+    if (observer_ != 0 && is_group_alive()) {
         group_.forget(observer_);
-        observer_ = 0;
     }
+    observer_ = 0;
 }
 
 void primary_task::look_up(
--- a/gentianhill/daemon/promotion_driver.cpp
+++ b/gentianhill/daemon/promotion_driver.cpp
@@ -42,7 +42,8 @@
 promotion_hooks promotion_driver::hooks_for_attempt() {
     promotion_hooks hooks;
     hooks.ask_peers = [this]() -> std::size_t {
-        // Peers hear from a primary that is leaving, or that answers without committing; that is no reason to wait.
+        // Peers hear from a primary that is leaving, or that answers without committing; that is no reason to
+        // wait.
         if (skip_opinions_) {
             return 0;
         }
@@ -105,7 +106,7 @@
     const primary_assessment assessment = group_.detector().assessment(now);
     if (assessment.health == primary_health::suspected && now >= next_attempt_) {
         skip_opinions_ = assessment.reason == suspicion_reason::not_committing ||
-                   assessment.reason == suspicion_reason::not_confirming;
+                         assessment.reason == suspicion_reason::not_confirming;
         start(std::string{to_string(assessment.reason)}, {}, now);
     }
 }
@@ -134,9 +135,10 @@
         return;
     }
     const position_tracker& positions = group_.view().positions();
-    const event_id suspected = context_.record(
-        event_kind::suspected, group_.name(),
-        {{"primary", positions.primary().value_or("")}, {"reason", reason}, {"rank", std::to_string(*place)}});
+    const event_id suspected = context_.record(event_kind::suspected, group_.name(),
+                                               {{"primary", positions.primary().value_or("")},
+                                                {"reason", reason},
+                                                {"rank", std::to_string(*place)}});
     attempt_event_ = context_.record(event_kind::attempt_started, group_.name(),
                                      {{"base_term", std::to_string(positions.primary_term())}}, suspected);
     context_.log.write(log_level::warning, "promotion", "attempt_started",
@@ -159,7 +161,11 @@
     const std::weak_ptr<bool> alive = alive_;
     store_.conditional_update(
         "groups/" + group_.name(),
-        [this, self, highest](const std::optional<nlohmann::json>& current) -> std::optional<nlohmann::json> {
+        [this, alive, self,
+         highest](const std::optional<nlohmann::json>& current) -> std::optional<nlohmann::json> {
+            if (alive.expired()) {
+                return std::nullopt;
+            }
             error reason;
             const std::optional<claim_set> stored =
                 current ? claim_set::from_json(*current, reason) : std::optional<claim_set>{claim_set{}};
--- a/gentianhill/daemon/read_task.cpp
+++ b/gentianhill/daemon/read_task.cpp
@@ -27,6 +27,9 @@
 }
 
 void read_task::attempt() {
+    if (is_finished()) {
+        return;
+    }
     if (is_late()) {
         const error reason{error_code::deadline_exceeded,
                            "deadline_ms",
--- a/gentianhill/daemon/request_task.cpp
+++ b/gentianhill/daemon/request_task.cpp
@@ -12,10 +12,11 @@
       token_(std::move(token)),
       started_(event_loop::now()),
       deadline_(deadline),
+      group_alive_(group.alive()),
       respond_(std::move(respond)) {}
 
 void request_task::finish(caller_answer answer) {
-    if (finished_) {
+    if (is_finished()) {
         return;
     }
     finished_ = true;
--- a/gentianhill/daemon/request_task.h
+++ b/gentianhill/daemon/request_task.h
@@ -34,7 +34,9 @@
     [[nodiscard]] log_position seen() const { return token_.position_in(group_.name()); }
     [[nodiscard]] duration remaining() const { return deadline_ - event_loop::now(); }
     [[nodiscard]] bool is_late() const { return remaining() <= duration{0}; }
-    [[nodiscard]] bool is_finished() const { return finished_; }
+    /// True when the answer was sent, or the group has gone and nothing may be done any more.
+    [[nodiscard]] bool is_finished() const { return finished_ || group_alive_.expired(); }
+    [[nodiscard]] bool is_group_alive() const { return !group_alive_.expired(); }
 
     service_context& service_;
     group_runtime& group_;
@@ -45,6 +47,7 @@
     int attempts_ = 0;
 
 private:
+    std::weak_ptr<bool> group_alive_;
     caller_responder respond_;
     bool finished_ = false;
 };
--- a/gentianhill/promotion/promotion.cpp
+++ b/gentianhill/promotion/promotion.cpp
@@ -58,8 +58,7 @@
     hooks_.on_finished(promotion_result{failure, term_, chosen_, times_, now});
 }
 
-void promotion::start(term_number base_term, std::size_t rank, time_point now,
-                      const std::string& excluded) {
+void promotion::start(term_number base_term, std::size_t rank, time_point now, const std::string& excluded) {
     if (is_running()) {
         return;
     }
--- a/gentianhill/promotion/promotion.h
+++ b/gentianhill/promotion/promotion.h
@@ -126,8 +126,8 @@
               promotion_hooks hooks);
 
     /// Starts an attempt against the primary of `base_term`. `rank` is this daemon's place among the
-    /// coordinators. An instance named in `excluded` is neither fenced nor chosen: a primary whose backend server is
-    /// leaving hands over to another one. Nothing happens while an attempt is under way.
+    /// coordinators. An instance named in `excluded` is neither fenced nor chosen: a primary whose backend
+    /// server is leaving hands over to another one. Nothing happens while an attempt is under way.
     void start(term_number base_term, std::size_t rank, time_point now, const std::string& excluded = {});
     /// Ends an attempt that has not fenced anything yet.
     void cancel(time_point now);
--- a/tests/daemon/answer_tests.cpp
+++ b/tests/daemon/answer_tests.cpp
@@ -19,14 +19,13 @@
     }
 
     std::int64_t count(int id) {
-        const nlohmann::json found =
-            call("kyushu-b-1", "/v1/statement",
-                 {{"group", "wheeldb-1"},
-                  {"team", "shops"},
-                  {"sql", "SELECT count(*) FROM builds WHERE id >= ?"},
-                  {"params", {id}},
-                  {"read_only", true},
-                  {"consistency", "latest"}});
+        const nlohmann::json found = call("kyushu-b-1", "/v1/statement",
+                                          {{"group", "wheeldb-1"},
+                                           {"team", "shops"},
+                                           {"sql", "SELECT count(*) FROM builds WHERE id >= ?"},
+                                           {"params", {id}},
+                                           {"read_only", true},
+                                           {"consistency", "latest"}});
         REQUIRE_MESSAGE(found["status"] == "done", found.dump());
         return found["rows"][0][0];
     }
@@ -109,13 +108,12 @@
 
 // Guards against a caller that cannot learn its outcome because the daemon that served it died.
 TEST_CASE_FIXTURE(answer_fixture, "outcome_after_daemon_died_is_found_through_another") {
-    const pending_ptr saved =
-        send("kyushu-a-1", "/v1/statement",
-             {{"group", "wheeldb-1"},
-              {"team", "shops"},
-              {"sql", "INSERT INTO builds VALUES (1, 32)"},
-              {"key", "build-1"},
-              {"issued_at", std::time(nullptr)}});
+    const pending_ptr saved = send("kyushu-a-1", "/v1/statement",
+                                   {{"group", "wheeldb-1"},
+                                    {"team", "shops"},
+                                    {"sql", "INSERT INTO builds VALUES (1, 32)"},
+                                    {"key", "build-1"},
+                                    {"issued_at", std::time(nullptr)}});
     run_for(3ms);
     crash_daemon("kyushu-a-1");
     const nlohmann::json found = outcome("kyushu-b-1", "build-1");
--- a/tests/daemon/deployment.cpp
+++ b/tests/daemon/deployment.cpp
@@ -82,10 +82,9 @@
     REQUIRE_MESSAGE(created != nullptr, reason.describe());
     REQUIRE_MESSAGE(created->start(reason), reason.describe());
     for (const std::pair<const std::string, std::unique_ptr<gentianhill_daemon>>& other : daemons) {
-        other.second->fleet().add_peer(
-            peer_address{name, zone, endpoint{"127.0.0.1", created->peer_port()}});
-        created->fleet().add_peer(peer_address{other.first, zones_[other.first],
-                                               endpoint{"127.0.0.1", other.second->peer_port()}});
+        other.second->fleet().add_peer(peer_address{name, zone, endpoint{"127.0.0.1", created->peer_port()}});
+        created->fleet().add_peer(
+            peer_address{other.first, zones_[other.first], endpoint{"127.0.0.1", other.second->peer_port()}});
     }
     zones_[name] = zone;
     daemons[name] = std::move(created);
@@ -107,12 +106,11 @@
                                  {"connections", 35},
                                  {"slots", 5}});
     }
-    const nlohmann::json content{
-        {"number", 1},
-        {"author", "tests"},
-        {"subjects",
-         {{"group/wheeldb-1", {{"teams", {"shops"}}, {"instances", instance_list}}},
-          {"team/shops", {{"weight", 1}, {"max_age_ms", 5000}}}}}};
+    const nlohmann::json content{{"number", 1},
+                                 {"author", "tests"},
+                                 {"subjects",
+                                  {{"group/wheeldb-1", {{"teams", {"shops"}}, {"instances", instance_list}}},
+                                   {"team/shops", {{"weight", 1}, {"max_age_ms", 5000}}}}}};
     const endpoint server{"127.0.0.1", daemons.begin()->second->operator_port()};
     const nlohmann::json answer = post(server, "/operator/v1/tickets", content);
     REQUIRE_MESSAGE(!answer.contains("error"), answer.dump());
@@ -141,8 +139,7 @@
     REQUIRE_MESSAGE(created["status"] == "done", created.dump());
 }
 
-pending_ptr deployment::send(const std::string& daemon, const std::string& path,
-                             const nlohmann::json& body) {
+pending_ptr deployment::send(const std::string& daemon, const std::string& path, const nlohmann::json& body) {
     std::unique_ptr<http2::client>& caller = callers_[daemon];
     if (caller == nullptr || caller->is_closed()) {
         http2::client_settings settings;
@@ -162,7 +159,8 @@
 }
 
 nlohmann::json deployment::await(const pending_ptr& answer) {
-    wait_for("an answer", [&answer] { return answer->done; }, std::chrono::seconds{30});
+    wait_for(
+        "an answer", [&answer] { return answer->done; }, std::chrono::seconds{30});
     if (answer->failure.failed()) {
         return nlohmann::json{{"status", "transport_failed"},
                               {"error", std::string{to_string(answer->failure.code)}}};
@@ -177,8 +175,11 @@
 
 nlohmann::json deployment::write(const std::string& daemon, const std::string& sql,
                                  const nlohmann::json& params, const std::string& key, int deadline_ms) {
-    nlohmann::json body{{"group", group_name}, {"team", "shops"}, {"sql", sql},
-                        {"params", params},    {"deadline_ms", deadline_ms}};
+    nlohmann::json body{{"group", group_name},
+                        {"team", "shops"},
+                        {"sql", sql},
+                        {"params", params},
+                        {"deadline_ms", deadline_ms}};
     if (!key.empty()) {
         body["key"] = key;
         body["issued_at"] = std::time(nullptr);
@@ -207,8 +208,7 @@
     static_cast<void>(loop.run_until([] { return false; }, length));
 }
 
-nlohmann::json deployment::post(const endpoint& server, const std::string& path,
-                                const nlohmann::json& body) {
+nlohmann::json deployment::post(const endpoint& server, const std::string& path, const nlohmann::json& body) {
     http2::client_settings settings;
     settings.server = server;
     http2::client client{loop, settings};
--- a/tests/daemon/deployment.h
+++ b/tests/daemon/deployment.h
@@ -37,7 +37,8 @@
     void start_instances(int lag_ms);
     /// Starts a daemon; it knows all daemons started before and after it.
     gentianhill_daemon& start_daemon(const std::string& name, const std::string& zone);
-    /// Submits the ticket that names the group through a daemon and waits until all daemons have it and a primary.
+    /// Submits the ticket that names the group through a daemon and waits until all daemons have it and a
+    /// primary.
     void submit_group_ticket();
     /// Instances, two daemons and the ticket, ready for statements.
     void start_all(int lag_ms);
--- a/tests/daemon/partition_tests.cpp
+++ b/tests/daemon/partition_tests.cpp
@@ -41,7 +41,8 @@
 } // namespace
 
 // Guards against a zone that stops serving reads when it is cut off, or serves them with a false age.
-TEST_CASE_FIXTURE(partition_fixture, "partition_daemon_with_one_replica_serves_reads_of_true_age_and_refuses_writes") {
+TEST_CASE_FIXTURE(partition_fixture,
+                  "partition_daemon_with_one_replica_serves_reads_of_true_age_and_refuses_writes") {
     cut("kyushu-b-1", {"wheeldb-1a", "wheeldb-1c"});
     const time_point began = event_loop::now();
     run_for(1500ms);
@@ -83,7 +84,8 @@
 }
 
 // Guards against replicas that do not acknowledge while unknown outcomes pile up.
-TEST_CASE_FIXTURE(partition_fixture, "partition_replicas_silent_new_writes_are_refused_before_they_are_sent") {
+TEST_CASE_FIXTURE(partition_fixture,
+                  "partition_replicas_silent_new_writes_are_refused_before_they_are_sent") {
     set_faults("wheeldb-1b", {{"drop_replication", true}});
     set_faults("wheeldb-1c", {{"drop_replication", true}});
     const nlohmann::json first =
@@ -97,8 +99,8 @@
         write("kyushu-a-1", "INSERT INTO builds VALUES (3, 32)", nlohmann::json::array(), "build-3", 10000);
     if (third["status"] != "done") {
         wait_for("writes to be accepted again", [this] {
-            return write("kyushu-a-1", "INSERT INTO builds VALUES (3, 32)", nlohmann::json::array(), "build-3",
-                         3000)["status"] == "done";
+            return write("kyushu-a-1", "INSERT INTO builds VALUES (3, 32)", nlohmann::json::array(),
+                         "build-3", 3000)["status"] == "done";
         });
     }
     const nlohmann::json repeated =
--- a/tests/daemon/promotion_tests.cpp
+++ b/tests/daemon/promotion_tests.cpp
@@ -99,7 +99,8 @@
 }
 
 // Guards against a second loss during the recovery from the first, with the platform down.
-TEST_CASE_FIXTURE(promotion_fixture, "promotion_second_primary_lost_while_platform_is_down_keeps_confirmed_writes") {
+TEST_CASE_FIXTURE(promotion_fixture,
+                  "promotion_second_primary_lost_while_platform_is_down_keeps_confirmed_writes") {
     start_all(20);
     REQUIRE(insert("kyushu-a-1")["status"] == "done");
     set_platform_faults({{"down", true}});
--- a/tests/daemon/ticket_tests.cpp
+++ b/tests/daemon/ticket_tests.cpp
@@ -1,5 +1,4 @@
 #include "deployment.h"
-
 #include "gentianhill/tickets/ticket_schema.h"
 
 #include <doctest/doctest.h>
@@ -32,7 +31,8 @@
                 done = true;
                 failure = reason;
             });
-        wait_for("the answer to a ticket", [&done] { return done; }, 30s);
+        wait_for(
+            "the answer to a ticket", [&done] { return done; }, 30s);
         return failure.code;
     }
 
@@ -93,7 +93,8 @@
     CHECK(weight_at("kyushu-b-1") == 21);
 }
 
-// Guards against a restarted daemon that cannot start, or starts with old tickets, while the platform is down.
+// Guards against a restarted daemon that cannot start, or starts with old tickets, while the platform is
+// down.
 TEST_CASE_FIXTURE(ticket_fixture, "ticket_daemon_restarts_during_outage_learns_tickets_from_peer") {
     REQUIRE(submit("kyushu-a-1", team_ticket(20, 20)) == error_code::none);
     wait_everywhere(20);
--- a/tests/daemon/transaction_tests.cpp
+++ b/tests/daemon/transaction_tests.cpp
@@ -30,8 +30,7 @@
                      {"deadline_ms", 3000}});
     }
 
-    nlohmann::json commit(const std::string& daemon, const std::string& transaction,
-                          const std::string& key) {
+    nlohmann::json commit(const std::string& daemon, const std::string& transaction, const std::string& key) {
         return call(daemon, "/v1/transaction/commit",
                     {{"transaction", transaction},
                      {"key", key},
