--- a/gentianhill/daemon/promotion_driver.cpp
+++ b/gentianhill/daemon/promotion_driver.cpp
@@ -161,7 +161,11 @@
     const std::weak_ptr<bool> alive = alive_;
     store_.conditional_update(
         "groups/" + group_.name(),
-        [this, self, highest](const std::optional<nlohmann::json>& current) -> std::optional<nlohmann::json> {
+        [this, alive, self,
+         highest](const std::optional<nlohmann::json>& current) -> std::optional<nlohmann::json> {
+            if (alive.expired()) {
+                return std::nullopt;
+            }
             error reason;
             const std::optional<claim_set> stored =
                 current ? claim_set::from_json(*current, reason) : std::optional<claim_set>{claim_set{}};
