--- a/gentianhill/core/event_loop.cpp
+++ b/gentianhill/core/event_loop.cpp
@@ -7,6 +7,19 @@
 
 namespace gentianhill {
 
+namespace {
+
+/// libevent's default timers use the coarse clock; measured here they fired in steps of 4 ms.
+event_base* new_precise_base() {
+    event_config* config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    event_base* base = event_base_new_with_config(config);
+    event_config_free(config);
+    return base;
+}
+
+} // namespace
+
 struct timer::state {
     event* handle = nullptr;
     std::function<void()> action;
@@ -29,6 +42,23 @@
             action();
         }
     }
+
+    /// One of the calls still pending on a loop, which no longer keeps itself alive; null when there is none.
+    static std::shared_ptr<state> take_pending(event_base* base) {
+        std::shared_ptr<state> found;
+        event_base_foreach_event(base, &find_pending, &found);
+        return found;
+    }
+
+private:
+    static int find_pending(const event_base* /*base*/, const event* candidate, void* argument) {
+        if (event_get_callback(candidate) != &on_fire) {
+            return 0;
+        }
+        state* pending = static_cast<state*>(event_get_callback_arg(candidate));
+        *static_cast<std::shared_ptr<state>*>(argument) = std::move(pending->self);
+        return 1;
+    }
 };
 
 struct event_loop::signal_watch {
@@ -66,7 +96,10 @@
     }
     const std::shared_ptr<state> keep = std::move(state_);
     state_ = nullptr;
-    event_del(keep->handle);
+    // The loop frees the handles of calls that are pending when it ends.
+    if (keep->handle != nullptr) {
+        event_del(keep->handle);
+    }
     keep->action = nullptr;
     keep->self = nullptr;
 }
@@ -75,12 +108,18 @@
     return state_ != nullptr && state_->action != nullptr;
 }
 
-event_loop::event_loop() : base_(event_base_new()) {
+event_loop::event_loop() : base_(new_precise_base()) {
     assert(base_ != nullptr);
 }
 
 event_loop::~event_loop() {
     signals_.clear();
+    // A pending call keeps itself alive, so whatever its action holds would never be released. Releasing one
+    // may schedule another.
+    while (const std::shared_ptr<timer::state> pending = timer::state::take_pending(base_)) {
+        event_free(std::exchange(pending->handle, nullptr));
+        pending->action = nullptr;
+    }
     event_base_free(base_);
 }
 
