Wait for the new state in the tests of admission

Cause: two tests waited for a report that the crashed instance had sent before it lost its state, so they went on before the admission and took a second instance away; the group then had no majority and refused rightly. Ruled out: a fault of the admission; the log shows no_majority only. Change: the wait is for a report with another state_id, which is stricter.

--- a/tests/daemon/promotion_tests.cpp
+++ b/tests/daemon/promotion_tests.cpp
@@ -11,6 +11,22 @@
 struct promotion_fixture : deployment {
     int next_id = 1;
 
+    [[nodiscard]] const instance_report* report_of(const std::string& instance) {
+        return daemons["kyushu-b-1"]->find_group("wheeldb-1")->view().positions().report_of(instance);
+    }
+
+    /// Restarts an instance without its state and waits until it counts again. The state that it had before
+    /// it crashed is still known, so a new one is waited for.
+    void restart_and_await_admission(const std::string& instance) {
+        const std::string lost_state = report_of(instance)->state_id;
+        restart_instance(instance);
+        wait_for("the admission of an instance", [this, instance, lost_state] {
+            const instance_report* report = report_of(instance);
+            return report != nullptr && report->state_id != lost_state && report->initialised &&
+                   report->last.position > 0;
+        });
+    }
+
     nlohmann::json insert(const std::string& daemon, int deadline_ms = 10000) {
         const int id = next_id++;
         return write(daemon, "INSERT INTO builds VALUES (?, 32)", nlohmann::json::array({id}),
@@ -88,12 +104,7 @@
     REQUIRE(insert("kyushu-a-1")["status"] == "done");
     crash_instance("wheeldb-1c");
     run_for(300ms);
-    restart_instance("wheeldb-1c");
-    wait_for("wheeldb-1c to be admitted", [this] {
-        const instance_report* report =
-            daemons["kyushu-b-1"]->find_group("wheeldb-1")->view().positions().report_of("wheeldb-1c");
-        return report != nullptr && report->initialised && report->last.position > 0;
-    });
+    restart_and_await_admission("wheeldb-1c");
     crash_instance("wheeldb-1b");
     CHECK(insert("kyushu-a-1")["status"] == "done");
 }
@@ -106,12 +117,7 @@
     set_platform_faults({{"down", true}});
     crash_instance("wheeldb-1a");
     REQUIRE(insert("kyushu-b-1")["status"] == "done");
-    restart_instance("wheeldb-1a");
-    wait_for("wheeldb-1a to be admitted", [this] {
-        const instance_report* report =
-            daemons["kyushu-b-1"]->find_group("wheeldb-1")->view().positions().report_of("wheeldb-1a");
-        return report != nullptr && report->initialised && report->last.position > 0;
-    });
+    restart_and_await_admission("wheeldb-1a");
     const std::string second = primary_at("kyushu-b-1");
     crash_instance(second);
     const nlohmann::json written = insert("kyushu-a-1");
