Check reported ages for readers without a token too

Cause: the random test checked an age only when the instance could serve the session's token, so the old data of a superseded primary was skipped.

Change: the age is checked for every read.

--- a/tests/promotion/random_failure_tests.cpp
+++ b/tests/promotion/random_failure_tests.cpp
@@ -346,12 +346,16 @@
         call(
             daemon, instance, [](fake_instance& target) { return target.initialised; },
             [=, this, &daemon](bool accepted, const instance_report& report, const fake_log& snapshot) {
-                if (!accepted || report.last < token) {
+                if (!accepted) {
+                    return;
+                }
+                // A reported age must hold for readers without a token as well.
+                check_age(daemon, report.last, snapshot);
+                if (report.last < token) {
                     return;
                 }
                 REQUIRE((report.last.term == token.term || report.term_start >= token.position));
                 REQUIRE(has_prefix(snapshot, seen));
-                check_age(daemon, report.last, snapshot);
                 daemon.pending.push_back(pending_answer{report.last, snapshot, false, now_});
             });
     }
