--- a/tests/promotion/random_failure_tests.cpp
+++ b/tests/promotion/random_failure_tests.cpp
@@ -516,8 +516,11 @@
             set_side(chance(500) ? 0 : 1);
             break;
         case 7:
+            // The primary is cut off together with one daemon that still reads from it.
+            set_side(0);
+            daemon.side = 1;
             for (const std::unique_ptr<server>& other : servers_) {
-                other->side = chance(400) ? 1 : 0;
+                other->side = other->state.is_primary ? 1 : 0;
             }
             break;
         default:
