End waits for a position that a newer term has overtaken

The two promotions came from a count of writes that was never raised, so the first coordinator always waited for the limit and met the second one. Ruled out: a lost answer of the transport; the instances held the same position and no wait was open. Change: such a wait ends as superseded and is resolved by key; writes in flight are counted; only the first coordinator hands over early. Conclusion: a wait ends as soon as its outcome cannot be learned by waiting.

--- a/gentianhill/daemon/group_runtime.cpp
+++ b/gentianhill/daemon/group_runtime.cpp
@@ -1,5 +1,6 @@
 #include "gentianhill/daemon/group_runtime.h"
 
+#include <cassert>
 #include <utility>
 
 namespace gentianhill {
@@ -272,11 +273,13 @@
 }
 
 void group_runtime::note_write_sent() {
+    ++writes_sent_;
     detector_.on_write_sent(event_loop::now());
 }
 
 void group_runtime::note_write_executed(const log_position& position) {
     const time_point now = event_loop::now();
+    assert(writes_sent_ > 0);
     --writes_sent_;
     view_.positions().on_write_executed(position, now);
     detector_.on_write_executed(now);
@@ -284,6 +287,7 @@
 
 void group_runtime::note_write_failed(request_progress progress) {
     const time_point now = event_loop::now();
+    assert(writes_sent_ > 0);
     --writes_sent_;
     progress == request_progress::answered ? detector_.on_write_rejected(now)
                                            : detector_.on_write_unanswered(now);
@@ -316,6 +320,9 @@
         {"confirmed", {{"term", positions.confirmed().term}, {"position", positions.confirmed().position}}},
         {"accepts_writes", primary_.has_value() && accepts_writes(now)},
         {"waiting", waiters_.size()},
+        {"writes_sent", writes_sent_},
+        {"lowest_awaited",
+         {{"term", waiters_.lowest_awaited().term}, {"position", waiters_.lowest_awaited().position}}},
         {"instances", std::move(instances)}};
 }
 
--- a/gentianhill/daemon/group_runtime.h
+++ b/gentianhill/daemon/group_runtime.h
@@ -61,7 +61,7 @@
     /// Instances as a read sees them now; the result refers to this object and is valid until the next call.
     [[nodiscard]] const std::vector<read_candidate>& candidates(time_point now);
 
-    /// Waits until the position is confirmed or lost; the handler runs from the loop.
+    /// Waits until the position is confirmed or superseded; the handler runs from the loop.
     void wait_confirmed(const log_position& position, time_point deadline,
                         group_waiters::confirm_handler on_done);
     /// Waits until the condition holds; needs fresh reports, so polling is faster meanwhile.
--- a/gentianhill/daemon/group_waiters.cpp
+++ b/gentianhill/daemon/group_waiters.cpp
@@ -37,8 +37,8 @@
         if (positions.is_confirmed(wait->first)) {
             confirmed.emplace_back(std::move(wait->second.on_done), confirm_result::confirmed);
             wait = confirms_.erase(wait);
-        } else if (positions.is_lost(wait->first)) {
-            confirmed.emplace_back(std::move(wait->second.on_done), confirm_result::lost);
+        } else if (positions.is_lost(wait->first) || wait->first.term < positions.confirmed().term) {
+            confirmed.emplace_back(std::move(wait->second.on_done), confirm_result::superseded);
             wait = confirms_.erase(wait);
         } else {
             ++wait;
--- a/gentianhill/daemon/group_waiters.h
+++ b/gentianhill/daemon/group_waiters.h
@@ -15,8 +15,10 @@
 enum class confirm_result : std::uint8_t {
     /// The position is confirmed.
     confirmed,
-    /// A newer term began below it; the entry is in no later log.
-    lost,
+    /// A newer term is confirmed, and the entry is not known to be in it: it is lost, or terms followed each
+    /// other
+    /// too fast to tell. The outcome can be found by key only.
+    superseded,
     /// The deadline passed first.
     deadline,
 };
@@ -27,7 +29,7 @@
     using confirm_handler = std::function<void(confirm_result)>;
     using condition_handler = std::function<void(bool reached)>;
 
-    /// Waits until the position is confirmed or lost.
+    /// Waits until the position is confirmed or superseded.
     void add_confirm(const log_position& position, time_point deadline, confirm_handler on_done);
     /// Waits until the condition holds; it is evaluated after each report and on each expire().
     void add_condition(std::function<bool()> condition, time_point deadline, condition_handler on_done);
@@ -37,6 +39,10 @@
     void expire(time_point now);
 
     [[nodiscard]] bool has_confirms() const { return !confirms_.empty(); }
+    /// Lowest position that a request waits for; {0, 0} when none does.
+    [[nodiscard]] log_position lowest_awaited() const {
+        return confirms_.empty() ? log_position{} : confirms_.begin()->first;
+    }
     [[nodiscard]] bool has_conditions() const { return !conditions_.empty(); }
     [[nodiscard]] std::size_t size() const { return confirms_.size() + conditions_.size(); }
 
--- a/gentianhill/daemon/primary_task.cpp
+++ b/gentianhill/daemon/primary_task.cpp
@@ -147,7 +147,7 @@
         case confirm_result::confirmed:
             self->on_confirmed(answer);
             return;
-        case confirm_result::lost:
+        case confirm_result::superseded:
             self->on_failure(backend_failure{
                 error{error_code::connection_lost, "instance", {}, "the primary was superseded"},
                 request_progress::sent});
--- a/gentianhill/daemon/promotion_driver.cpp
+++ b/gentianhill/daemon/promotion_driver.cpp
@@ -125,7 +125,9 @@
     }
     // By then all daemons have stopped sending writes, and those in flight have ended or will not.
     const duration waited = now - *leaving_since_;
-    const bool is_quiet = !group_.has_writes_in_flight() && waited >= hand_over_notice;
+    // Only the first coordinator starts early; a second one at the same moment would promote twice.
+    const bool is_quiet =
+        rank() == std::size_t{0} && !group_.has_writes_in_flight() && waited >= hand_over_notice;
     if ((is_quiet || waited >= hand_over_limit) && now >= next_attempt_) {
         skip_opinions_ = true;
         start("leaving", primary->configuration().name, now);
--- a/gentianhill/daemon/read_task.cpp
+++ b/gentianhill/daemon/read_task.cpp
@@ -147,7 +147,7 @@
         case confirm_result::confirmed:
             self->hold_until_fresh(instance, answer);
             return;
-        case confirm_result::lost:
+        case confirm_result::superseded:
             self->pause_then_attempt(choice_interval);
             return;
         case confirm_result::deadline:
--- a/gentianhill/daemon/transaction_service.cpp
+++ b/gentianhill/daemon/transaction_service.cpp
@@ -271,7 +271,7 @@
     const log_position at = answer->at;
     target->group->wait_confirmed(
         at, deadline, [this, target, request, deadline, at, respond](confirm_result result) {
-            if (result == confirm_result::lost) {
+            if (result == confirm_result::superseded) {
                 resolve(target, request, deadline, respond);
                 return;
             }
