--- a/gentianhill/daemon/outcome_task.cpp
+++ b/gentianhill/daemon/outcome_task.cpp
@@ -27,7 +27,7 @@
 void outcome_task::on_confirmed(const database_answer& answer) {
     caller_answer reply = caller_answer::refused(cancelled_error(key_));
     add_token(reply, answer.at);
-    finish(std::move(reply));
+    finish(reply);
 }
 
 void outcome_task::on_duplicate(const error& reason) {
@@ -35,7 +35,7 @@
         if (!record || record->state == key_state::cancelled) {
             caller_answer reply = caller_answer::refused(record ? cancelled_error(key_) : reason);
             add_token(reply, answer.at);
-            finish(std::move(reply));
+            finish(reply);
             return;
         }
         caller_answer reply;
@@ -43,7 +43,7 @@
         reply.changes = record->changes;
         reply.repeated = true;
         add_token(reply, answer.at);
-        finish(std::move(reply));
+        finish(reply);
     });
 }
 
--- a/gentianhill/daemon/primary_task.cpp
+++ b/gentianhill/daemon/primary_task.cpp
@@ -231,9 +231,9 @@
                                 self->pause_then_attempt();
                                 return;
                             }
-                            const database_answer found = *answer;
                             self->group_.wait_confirmed(
-                                found.at, self->deadline_, [self, on_record, found](confirm_result result) {
+                                answer->at, self->deadline_,
+                                [self, on_record, found = *answer](confirm_result result) {
                                     error reason;
                                     const std::optional<key_record> record =
                                         parse_key_record(found.results, reason);
--- a/gentianhill/daemon/read_task.cpp
+++ b/gentianhill/daemon/read_task.cpp
@@ -214,7 +214,7 @@
         .add_counter("gentianhill_reads_total", "Reads answered, by role of the instance",
                      {{"group", group_.name()}, {"role", at_primary ? "primary" : "replica"}})
         .add();
-    finish(std::move(reply));
+    finish(reply);
 }
 
 } // namespace gentianhill
--- a/gentianhill/daemon/request_task.cpp
+++ b/gentianhill/daemon/request_task.cpp
@@ -15,7 +15,7 @@
       group_alive_(group.alive()),
       respond_(std::move(respond)) {}
 
-void request_task::finish(caller_answer answer) {
+void request_task::finish(const caller_answer& answer) {
     if (is_finished()) {
         return;
     }
--- a/gentianhill/daemon/request_task.h
+++ b/gentianhill/daemon/request_task.h
@@ -23,7 +23,7 @@
     ~request_task() = default;
 
     /// Sends the answer; further calls do nothing.
-    void finish(caller_answer answer);
+    void finish(const caller_answer& answer);
     /// Answers that the request did not run.
     void refuse(const error& reason) { finish(caller_answer::refused(reason)); }
     /// Answers that the request may have run.
--- a/gentianhill/daemon/ticket_service.cpp
+++ b/gentianhill/daemon/ticket_service.cpp
@@ -4,8 +4,6 @@
 
 #include <fmt/format.h>
 
-#include <utility>
-
 namespace gentianhill {
 
 namespace {
--- a/gentianhill/daemon/write_task.cpp
+++ b/gentianhill/daemon/write_task.cpp
@@ -38,7 +38,7 @@
         reply.served_by = answer.report->instance;
     }
     add_token(reply, answer.at);
-    finish(std::move(reply));
+    finish(reply);
 }
 
 void write_task::on_duplicate(const error& reason) {
@@ -75,7 +75,7 @@
     reply.changes = record->changes;
     reply.repeated = true;
     add_token(reply, answer.at);
-    finish(std::move(reply));
+    finish(reply);
 }
 
 } // namespace gentianhill
