Apply policy tickets to running daemons

Cause: a policy ticket was accepted and had no effect, against docs/tickets.md. Ruled out: rebuilding all groups, which would open their connections twice. Change: limits of callers, retries, confirmation, detection and connection parts are taken over in place; groups that were replaced go on expiring their requests. Measured: ticket_with_policy_changes_limits_of_running_daemons passes; it failed before, since nothing read the policy. Conclusion: only queue_capacity waits for the next change of the instances.

--- a/gentianhill/caller/caller_endpoint.h
+++ b/gentianhill/caller/caller_endpoint.h
@@ -30,6 +30,8 @@
     /// Starts to listen. Errors: bind_failed.
     [[nodiscard]] bool listen(error& reason) { return server_.listen(reason); }
     [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+    /// Changes the bounds of further requests.
+    void set_limits(const caller_limits& limits) { limits_ = limits; }
     /// Takes no further connections; requests on existing ones go on.
     void stop_accepting() { server_.stop_accepting(); }
     /// Takes no further connections and requests, and lets open requests finish.
--- a/gentianhill/consistency/position_tracker.h
+++ b/gentianhill/consistency/position_tracker.h
@@ -30,6 +30,8 @@
     /// `members` are the names of all instances of the group; majorities are counted over all of them.
     position_tracker(const std::vector<std::string>& members, const position_tracker_settings& settings);
 
+    /// Changes the limits; reports are kept.
+    void set_settings(const position_tracker_settings& settings) { settings_ = settings; }
     /// Takes in one report; returns false when it was ignored: unknown instance, older term than the instance
     /// already accepted, or sent before a loss of state was known.
     bool apply(const instance_report& report) { return apply(report, true); }
--- a/gentianhill/daemon/gentianhill_daemon.cpp
+++ b/gentianhill/daemon/gentianhill_daemon.cpp
@@ -1,5 +1,7 @@
 #include "gentianhill/daemon/gentianhill_daemon.h"
 
+#include "gentianhill/tickets/policy_settings.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -37,6 +39,13 @@
     return result;
 }
 
+retry_budget_settings budget_settings_for(const daemon_settings& settings) {
+    constexpr double percent = 100.0;
+    retry_budget_settings result;
+    result.ratio = static_cast<double>(settings.retry_budget_percent) / percent;
+    return result;
+}
+
 group_configuration configuration_of(const std::string& name, const group_subject& subject) {
     group_configuration result;
     result.name = name;
@@ -73,7 +82,8 @@
 }
 
 gentianhill_daemon::gentianhill_daemon(event_loop& loop, const daemon_settings& settings, token_codec codec)
-    : settings_(settings),
+    : base_settings_(settings),
+      settings_(settings),
       context_(loop, settings_, event_loop::wall_clock_ms()),
       store_(loop, store_settings_for(settings_), [this] { return context_.random(); }),
       service_(make_service_context(std::move(codec))),
@@ -106,14 +116,11 @@
 }
 
 service_context gentianhill_daemon::make_service_context(token_codec codec) {
-    retry_budget_settings budget;
-    constexpr double percent = 100.0;
-    budget.ratio = static_cast<double>(settings_.retry_budget_percent) / percent;
     return service_context{context_,
                            std::move(codec),
                            replica_selector{replica_selector_settings{}},
                            retry_policy{},
-                           retry_budget{budget, event_loop::now()},
+                           retry_budget{budget_settings_for(settings_), event_loop::now()},
                            [this](const std::string& name) { return find_group(name); },
                            [this](const std::string& team) -> std::optional<duration> {
                                const team_subject* found = tickets_->view().team(team);
@@ -159,6 +166,10 @@
         entry.second.driver->tick(now);
     }
     statements_->tick(now);
+    // Requests of a group that was replaced still have deadlines.
+    for (const retired_group& retired : retired_) {
+        retired.runtime->tick(now);
+    }
     std::erase_if(retired_, [now](const retired_group& retired) { return retired.until <= now; });
     tick_timer_ = context_.loop.call_after(tick_interval, [this] { tick(); });
 }
@@ -188,6 +199,9 @@
 
 void gentianhill_daemon::on_tickets_raised(const std::vector<std::string>& subjects) {
     const ticket_state& view = tickets_->view();
+    if (std::find(subjects.begin(), subjects.end(), "policy") != subjects.end()) {
+        apply_policy();
+    }
     for (const std::string& subject : subjects) {
         constexpr std::string_view group_prefix = "group/";
         if (!subject.starts_with(group_prefix)) {
@@ -206,6 +220,18 @@
     }
 }
 
+void gentianhill_daemon::apply_policy() {
+    settings_ = with_policy(base_settings_, tickets_->view().policy());
+    callers_->set_limits(caller_limits_for(settings_));
+    service_.budget = retry_budget{budget_settings_for(settings_), event_loop::now()};
+    for (std::pair<const std::string, group_entry>& entry : groups_) {
+        entry.second.runtime->apply_settings();
+    }
+    context_.log.write(log_level::info, "daemon", "policy_applied",
+                       {{"entry_hosts", settings_.entry_hosts},
+                        {"suspect_after_ms", to_milliseconds(settings_.suspect_after)}});
+}
+
 void gentianhill_daemon::set_group(const std::string& name, const group_subject& subject) {
     const group_configuration wanted = configuration_of(name, subject);
     const group_runtime* known = find_group(name);
--- a/gentianhill/daemon/gentianhill_daemon.h
+++ b/gentianhill/daemon/gentianhill_daemon.h
@@ -71,6 +71,7 @@
     void set_operator_hooks();
     void tick();
     void on_tickets_raised(const std::vector<std::string>& subjects);
+    void apply_policy();
     void set_group(const std::string& name, const group_subject& subject);
     void set_teams_of(const std::string& name, const group_subject& subject);
     void remove_group(const std::string& name);
@@ -82,6 +83,8 @@
     void ticket_status(ticket_number number, const operator_answer& answer);
     void expose_gauges();
 
+    /// Settings of the process, and the same with the overrides of the policy in effect.
+    const daemon_settings base_settings_;
     daemon_settings settings_;
     daemon_context context_;
     object_store store_;
--- a/gentianhill/daemon/group_runtime.cpp
+++ b/gentianhill/daemon/group_runtime.cpp
@@ -165,6 +165,14 @@
     }
 }
 
+void group_runtime::apply_settings() {
+    view_.positions().set_settings(position_settings_for(context_.settings));
+    detector_.set_settings(detector_settings_for(context_.settings));
+    for (std::pair<const std::string, instance_runtime>& entry : instances_) {
+        entry.second.gateway->apply_settings();
+    }
+}
+
 void group_runtime::tick(time_point now) {
     waiters_.expire(now);
     for (std::pair<const std::string, instance_runtime>& entry : instances_) {
--- a/gentianhill/daemon/group_runtime.h
+++ b/gentianhill/daemon/group_runtime.h
@@ -34,6 +34,8 @@
     [[nodiscard]] std::weak_ptr<bool> alive() const { return alive_; }
     /// Starts to poll the instances.
     void start();
+    /// Takes over changed limits of the daemon's settings.
+    void apply_settings();
     /// Expires waits and queued requests; to be called every few milliseconds.
     void tick(time_point now);
     /// The event loop did not run for `gap`.
--- a/gentianhill/daemon/instance_gateway.cpp
+++ b/gentianhill/daemon/instance_gateway.cpp
@@ -272,6 +272,10 @@
                });
 }
 
+void instance_gateway::apply_settings() {
+    pool_.set_limit(connection_part(configuration_, context_.settings.entry_hosts));
+}
+
 void instance_gateway::set_leaving(bool leaving) {
     if (leaving == pool_.is_draining()) {
         return;
--- a/gentianhill/daemon/instance_gateway.h
+++ b/gentianhill/daemon/instance_gateway.h
@@ -55,6 +55,8 @@
 
     /// Adds a team or changes its weight.
     void set_team(const std::string& team, double weight) { queue_.set_team(team, weight); }
+    /// Takes over a changed number of entry hosts; connections above the new part are closed when idle.
+    void apply_settings();
     /// Stops new work, or resumes it.
     void set_leaving(bool leaving);
     /// Closes idle connections, expires requests, opens connections; to be called every few milliseconds.
--- a/gentianhill/promotion/failure_detector.h
+++ b/gentianhill/promotion/failure_detector.h
@@ -66,6 +66,8 @@
 public:
     explicit failure_detector(const failure_detector_settings& settings);
 
+    /// Changes the limits; evidence gathered so far is kept.
+    void set_settings(const failure_detector_settings& settings) { settings_ = settings; }
     /// Sets the primary and its term; a change discards all evidence and starts the hysteresis.
     void observe_primary(const std::optional<std::string>& instance, term_number term, time_point now);
     /// A request was sent to the primary.
--- a/tests/daemon/ticket_tests.cpp
+++ b/tests/daemon/ticket_tests.cpp
@@ -108,6 +108,24 @@
     CHECK_MESSAGE(written["status"] == "done", written.dump());
 }
 
+// Guards against a policy that is accepted and has no effect.
+TEST_CASE_FIXTURE(ticket_fixture, "ticket_with_policy_changes_limits_of_running_daemons") {
+    ticket submitted;
+    submitted.number = 30;
+    submitted.author = "tests";
+    policy_subject policy;
+    policy.max_deadline_ms = 3000;
+    submitted.subjects["policy"] = policy;
+    REQUIRE(submit("kyushu-a-1", submitted) == error_code::none);
+    wait_for("the policy at the other daemon",
+             [this] { return daemons["kyushu-b-1"]->tickets().view().highest_number() == 30; });
+    const nlohmann::json refused =
+        write("kyushu-b-1", "INSERT INTO builds VALUES (1, 32)", nlohmann::json::array(), "build-1", 5000);
+    CHECK(refused["status"] == "not_run");
+    CHECK(refused["error"]["field"] == "deadline_ms");
+    CHECK(refused["error"]["allowed"] == "1 to 3000");
+}
+
 // Guards against a ticket refused for good although the platform was only down for a while.
 TEST_CASE_FIXTURE(ticket_fixture, "ticket_submitted_during_outage_is_reported_and_can_be_repeated") {
     set_platform_faults({{"refuse", true}});
