Strengthen two tests that passed without their mechanism

Cause: with the session's position ignored, and with the id alone naming a transaction, all tests of the daemon passed. Ruled out: that other mechanisms cover these cases; a far-behind replica in the zone of the reading daemon, and a second connection to the same daemon, show the fault.

--- a/tests/daemon/deployment.h
+++ b/tests/daemon/deployment.h
@@ -47,6 +47,11 @@
     pending_ptr send(const std::string& daemon, const std::string& path, const nlohmann::json& body);
     /// Sends a request and waits for the answer.
     nlohmann::json call(const std::string& daemon, const std::string& path, const nlohmann::json& body);
+    /// Sends a request over a connection of its own and waits for the answer.
+    nlohmann::json call_on_new_connection(const std::string& daemon, const std::string& path,
+                                          const nlohmann::json& body) {
+        return post(endpoint{"127.0.0.1", daemons.at(daemon)->caller_port()}, path, body);
+    }
     /// Runs a write, optionally under a key.
     nlohmann::json write(const std::string& daemon, const std::string& sql, const nlohmann::json& params,
                          const std::string& key = {}, int deadline_ms = 5000);
--- a/tests/daemon/session_tests.cpp
+++ b/tests/daemon/session_tests.cpp
@@ -24,6 +24,27 @@
     }
 }
 
+// Guards against a session that is served by a replica far behind, since that one is nearest to its new
+// daemon.
+TEST_CASE_FIXTURE(deployment, "session_moves_to_zone_of_far_behind_replica_sees_its_own_write") {
+    start_instances(5);
+    start_daemon("kyushu-a-1", "kyushu-a");
+    start_daemon("kyushu-c-1", "kyushu-c");
+    submit_group_ticket();
+    REQUIRE(write("kyushu-a-1", "CREATE TABLE builds (id INTEGER PRIMARY KEY, spokes INTEGER)",
+                  nlohmann::json::array())["status"] == "done");
+    run_for(300ms);
+    set_faults("wheeldb-1c", {{"lag_ms", 3000}});
+    for (int id = 1; id <= 3; ++id) {
+        const nlohmann::json written =
+            write("kyushu-a-1", "INSERT INTO builds VALUES (?, 32)", nlohmann::json::array({id}));
+        REQUIRE_MESSAGE(written["status"] == "done", written.dump());
+        const nlohmann::json found = read("kyushu-c-1", "SELECT count(*) FROM builds", written["token"]);
+        REQUIRE_MESSAGE(found["status"] == "done", found.dump());
+        CHECK(found["rows"][0][0] == id);
+    }
+}
+
 // Guards against a read that shows a write which a promotion then loses, and against losing a confirmed one.
 TEST_CASE_FIXTURE(deployment, "session_primary_lost_between_write_and_read_sees_its_own_write") {
     start_all(150);
--- a/tests/daemon/transaction_tests.cpp
+++ b/tests/daemon/transaction_tests.cpp
@@ -78,7 +78,14 @@
 // Guards against statements of one caller landing in the transaction of another that knows its id.
 TEST_CASE_FIXTURE(transaction_fixture, "transaction_id_of_another_connection_is_unknown") {
     const std::string id = begin("kyushu-a-1");
-    const nlohmann::json foreign = statement("kyushu-b-1", id, "INSERT INTO builds VALUES (1, 32)");
+    const nlohmann::json elsewhere = statement("kyushu-b-1", id, "INSERT INTO builds VALUES (1, 32)");
+    CHECK(elsewhere["error"]["code"] == "transaction_unknown");
+    // The same daemon, over a second connection.
+    const nlohmann::json foreign = call_on_new_connection("kyushu-a-1", "/v1/transaction/statement",
+                                                          {{"group", "wheeldb-1"},
+                                                           {"team", "shops"},
+                                                           {"transaction", id},
+                                                           {"sql", "INSERT INTO builds VALUES (1, 32)"}});
     CHECK(foreign["status"] == "not_run");
     CHECK(foreign["error"]["code"] == "transaction_unknown");
     CHECK(commit("kyushu-a-1", id, "order-1")["status"] == "done");
