Bound the events of a failover that cannot finish

Cause: read-through: an instance that is down got a follow order and an event five times a second, and attempts without a majority repeated every 0.8 s, so an hour of partition would overwrite the timeline of 20,000 events; tickets of a peer's push were passed on twice; one answer was written in two tasks. Ruled out: a larger ring, which only moves the moment. Change: repeated orders once a second, pauses up to 2 s, one push per ticket, primary_task::answer_repeated. Conclusion: about 4 events a second remain in that state; no test counts them.

--- a/gentianhill/daemon/fleet_service.cpp
+++ b/gentianhill/daemon/fleet_service.cpp
@@ -67,6 +67,9 @@
 }
 
 void fleet_service::push_ticket(const nlohmann::json& accepted) {
+    if (is_relayed_) {
+        return;
+    }
     ticket_batch batch;
     batch.tickets = {accepted};
     network_->push_tickets(batch);
@@ -102,7 +105,10 @@
         return is_news ? peer_news::applied : peer_news::known;
     };
     result.on_tickets = [this](const peer_envelope& /*sender*/, const ticket_batch& batch, error& reason) {
-        return on_tickets(batch, reason);
+        is_relayed_ = true;
+        const peer_news news = on_tickets(batch, reason);
+        is_relayed_ = false;
+        return news;
     };
     result.opinion = [this](const peer_envelope& /*sender*/, const opinion_request& question) {
         return hooks_.opinion(question);
--- a/gentianhill/daemon/fleet_service.h
+++ b/gentianhill/daemon/fleet_service.h
@@ -81,6 +81,8 @@
     std::map<std::string, peer_address> known_;
     std::map<std::string, nlohmann::json> summaries_;
     std::map<std::string, time_point> pulled_at_;
+    /// True while tickets of a peer's push are applied; the network passes those on by itself.
+    bool is_relayed_ = false;
     timer hosts_timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/gentianhill/daemon/outcome_task.cpp
+++ b/gentianhill/daemon/outcome_task.cpp
@@ -38,12 +38,7 @@
             finish(reply);
             return;
         }
-        caller_answer reply;
-        reply.status = request_status::done;
-        reply.changes = record->changes;
-        reply.repeated = true;
-        add_token(reply, answer.at);
-        finish(reply);
+        answer_repeated(*record, answer);
     });
 }
 
--- a/gentianhill/daemon/primary_task.cpp
+++ b/gentianhill/daemon/primary_task.cpp
@@ -25,6 +25,15 @@
     may_have_run_ ? leave_unknown(reason) : refuse(reason);
 }
 
+void primary_task::answer_repeated(const key_record& record, const database_answer& answer) {
+    caller_answer reply;
+    reply.status = request_status::done;
+    reply.changes = record.changes;
+    reply.repeated = true;
+    add_token(reply, answer.at);
+    finish(reply);
+}
+
 void primary_task::attempt() {
     if (is_finished()) {
         return;
--- a/gentianhill/daemon/primary_task.h
+++ b/gentianhill/daemon/primary_task.h
@@ -38,6 +38,8 @@
     /// when the key is absent.
     void look_up(const std::string& key,
                  std::function<void(const std::optional<key_record>&, const database_answer&)> on_record);
+    /// Answers with the recorded outcome of an earlier request with the same key.
+    void answer_repeated(const key_record& record, const database_answer& answer);
     /// Answers a request that did not finish before its deadline.
     void give_up(const error& reason);
 
--- a/gentianhill/daemon/promotion_driver.cpp
+++ b/gentianhill/daemon/promotion_driver.cpp
@@ -1,5 +1,6 @@
 #include "gentianhill/daemon/promotion_driver.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gentianhill {
@@ -15,6 +16,11 @@
 constexpr duration promote_timeout = std::chrono::milliseconds{1000};
 /// Pause after a failed attempt, so that two coordinators do not fence each other without end.
 constexpr duration retry_pause = std::chrono::milliseconds{500};
+/// The pause doubles up to 2 s: during a long partition, attempts at the first rate would fill the timeline.
+constexpr unsigned max_pause_doublings = 3;
+/// An instance that is down gets the same order again after this time; each order is an event of the
+/// timeline.
+constexpr duration follow_repeat_interval = std::chrono::seconds{1};
 /// Time for all daemons to learn that the primary's backend server is leaving.
 constexpr duration hand_over_notice = std::chrono::milliseconds{500};
 /// A leaving primary is replaced after this time even while writes are in flight.
@@ -211,13 +217,25 @@
 }
 
 void promotion_driver::reconcile_instances(time_point now) {
-    static_cast<void>(now);
     if (attempt_.is_running() || !rank()) {
         return;
     }
     for (const follow_order& order : reconcile(group_.view()).orders) {
-        send_follow(order);
+        if (is_due(order, now)) {
+            send_follow(order);
+        }
+    }
+}
+
+bool promotion_driver::is_due(const follow_order& order, time_point now) {
+    sent_order& last = sent_orders_[order.instance];
+    const bool is_same =
+        last.term == order.term && last.primary == order.primary && last.admit == order.admit;
+    if (is_same && now - last.at < follow_repeat_interval) {
+        return false;
     }
+    last = sent_order{order.term, order.primary, order.admit, now};
+    return true;
 }
 
 void promotion_driver::send_status(const std::string& instance) {
@@ -308,8 +326,9 @@
 
 void promotion_driver::finished(const promotion_result& result) {
     last_result_ = result;
-    next_attempt_ = result.ended + retry_pause;
     const bool succeeded = result.failure == promotion_failure::none;
+    failures_in_a_row_ = succeeded ? 0 : std::min(failures_in_a_row_ + 1, max_pause_doublings);
+    next_attempt_ = result.ended + retry_pause * (1U << failures_in_a_row_) / 2;
     const promotion_times& times = result.times;
     context_.record(succeeded ? event_kind::first_confirmed_write : event_kind::attempt_ended, group_.name(),
                     {{"term", std::to_string(result.term)},
--- a/gentianhill/daemon/promotion_driver.h
+++ b/gentianhill/daemon/promotion_driver.h
@@ -59,6 +59,7 @@
     void send_fence(const std::string& instance, term_number term);
     void send_promote(const std::string& instance, term_number term);
     void send_follow(const follow_order& order);
+    [[nodiscard]] bool is_due(const follow_order& order, time_point now);
     void send_status(const std::string& instance);
     void finished(const promotion_result& result);
     void record_primary(term_number term, const std::string& instance);
@@ -77,6 +78,14 @@
     bool skip_opinions_ = false;
     std::optional<event_id> attempt_event_;
     std::optional<promotion_result> last_result_;
+    unsigned failures_in_a_row_ = 0;
+    struct sent_order {
+        term_number term = 0;
+        std::string primary;
+        bool admit = false;
+        time_point at;
+    };
+    std::map<std::string, sent_order> sent_orders_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/gentianhill/daemon/write_task.cpp
+++ b/gentianhill/daemon/write_task.cpp
@@ -70,12 +70,7 @@
                      "a new key: this one belongs to another statement"});
         return;
     }
-    caller_answer reply;
-    reply.status = request_status::done;
-    reply.changes = record->changes;
-    reply.repeated = true;
-    add_token(reply, answer.at);
-    finish(reply);
+    answer_repeated(*record, answer);
 }
 
 } // namespace gentianhill
