Test that an instance that is down gets one order a second

Cause: the bound on repeated follow orders, found in the read-through, had no test. Ruled out: counting all events; only the orders are bounded by the change. Change: promotion_old_primary_down_gets_one_order_a_second. Conclusion: the timeline keeps room for the story of a long failure.

--- a/tests/daemon/promotion_tests.cpp
+++ b/tests/daemon/promotion_tests.cpp
@@ -125,3 +125,21 @@
     const nlohmann::json found = read("kyushu-b-1", "SELECT count(*) FROM builds", written["token"]);
     CHECK(found["rows"][0][0] == 3);
 }
+
+// Guards against a timeline that fills with repeated orders to an instance that is down.
+TEST_CASE_FIXTURE(promotion_fixture, "promotion_old_primary_down_gets_one_order_a_second") {
+    start_all(20);
+    crash_instance("wheeldb-1a");
+    REQUIRE(insert("kyushu-b-1")["status"] == "done");
+    run_for(1s);
+    timeline& events = daemons["kyushu-b-1"]->context().events;
+    const std::uint64_t before = events.last_sequence();
+    run_for(3s);
+    const nlohmann::json exported = events.export_since(before, 1000);
+    std::size_t orders = 0;
+    for (const nlohmann::json& event : exported["events"]) {
+        orders += event["kind"] == "follow_sent" ? 1 : 0;
+    }
+    CHECK(orders >= 1);
+    CHECK(orders <= 4);
+}
