--- a/gentianhill/daemon/fleet_service.h
+++ b/gentianhill/daemon/fleet_service.h
@@ -4,9 +4,9 @@
 #include "gentianhill/daemon/ticket_service.h"
 #include "gentianhill/membership/host_directory.h"
 #include "gentianhill/peer/peer_network.h"
-#include "gentianhill/platform/object_store.h"
 #include "gentianhill/promotion/claim_set.h"
 #include "gentianhill/promotion/coordinator_ranking.h"
+#include "gentianhill/store/object_store.h"
 
 #include <functional>
 #include <map>
--- a/gentianhill/daemon/gentianhill_daemon.h
+++ b/gentianhill/daemon/gentianhill_daemon.h
@@ -10,7 +10,7 @@
 #include "gentianhill/daemon/ticket_service.h"
 #include "gentianhill/operators/admin_endpoint.h"
 #include "gentianhill/operators/operator_endpoint.h"
-#include "gentianhill/platform/object_store.h"
+#include "gentianhill/store/object_store.h"
 
 #include <functional>
 #include <map>
--- a/gentianhill/daemon/promotion_driver.h
+++ b/gentianhill/daemon/promotion_driver.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "gentianhill/daemon/group_runtime.h"
-#include "gentianhill/platform/object_store.h"
 #include "gentianhill/promotion/claim_holder.h"
 #include "gentianhill/promotion/coordinator_ranking.h"
 #include "gentianhill/promotion/promotion.h"
 #include "gentianhill/promotion/reconciler.h"
+#include "gentianhill/store/object_store.h"
 
 #include <functional>
 #include <map>
--- a/gentianhill/daemon/ticket_service.h
+++ b/gentianhill/daemon/ticket_service.h
@@ -2,8 +2,8 @@
 
 #include "gentianhill/daemon/daemon_context.h"
 #include "gentianhill/operators/operator_hooks.h"
-#include "gentianhill/platform/object_store.h"
-#include "gentianhill/platform/prefix_watch.h"
+#include "gentianhill/store/object_store.h"
+#include "gentianhill/store/prefix_watch.h"
 #include "gentianhill/tickets/ticket_state.h"
 
 #include <cstddef>
--- /dev/null
+++ b/gentianhill/failover/duty_lease.cpp
@@ -0,0 +1,165 @@
+#include "gentianhill/failover/duty_lease.h"
+
+#include <array>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+constexpr std::string_view object_name = "failover";
+constexpr std::array<std::string_view, 5> refusal_names{"none", "held_by_other", "lost_race",
+                                                        "store_unreachable", "spacing"};
+
+std::string text_of(const nlohmann::json& content, const char* name) {
+    const nlohmann::json::const_iterator found = content.find(name);
+    return found != content.end() && found->is_string() ? found->get<std::string>() : std::string{};
+}
+
+bool is_active(const nlohmann::json& content) {
+    const nlohmann::json::const_iterator found = content.find("active");
+    // An object that cannot be read is taken as held, which only costs time.
+    return found == content.end() || !found->is_boolean() || found->get<bool>();
+}
+
+} // namespace
+
+std::string_view to_string(claim_refusal reason) {
+    return refusal_names.at(static_cast<std::size_t>(reason));
+}
+
+duty_lease::duty_lease(store_port& store, logger& log, const duty_lease_settings& settings,
+                       std::string holder, std::string incarnation)
+    : store_(store),
+      log_(log),
+      settings_(settings),
+      holder_(std::move(holder)),
+      incarnation_(std::move(incarnation)) {}
+
+bool duty_lease::is_held() const {
+    return held_ && sent_at_ && now() < *sent_at_ + settings_.tenure;
+}
+
+void duty_lease::claim(const std::string& purpose, claim_handler done) {
+    held_ = false;
+    store_.get(collection::duties, std::string(object_name),
+               [this, purpose, done = std::move(done),
+                alive = std::weak_ptr<bool>(alive_)](const store_answer& answer) {
+                   if (!alive.expired()) {
+                       decide(answer, purpose, done);
+                   }
+               });
+}
+
+void duty_lease::decide(const store_answer& answer, const std::string& purpose, const claim_handler& done) {
+    if (answer.outcome == store_outcome::not_found) {
+        write_claim(0, purpose, done);
+        return;
+    }
+    if (answer.outcome != store_outcome::done || !answer.object) {
+        done(std::nullopt, claim_refusal::store_unreachable);
+        return;
+    }
+    const claim_refusal reason = judge(*answer.object);
+    if (reason != claim_refusal::none) {
+        done(std::nullopt, reason);
+        return;
+    }
+    write_claim(answer.object->revision, purpose, done);
+}
+
+claim_refusal duty_lease::judge(const stored_object& object) {
+    // A claim under the same daemon name is this process's own, or that of a process that has ended.
+    if (text_of(object.content, "holder") == holder_) {
+        return claim_refusal::none;
+    }
+    if (!other_ || other_->revision != object.revision) {
+        other_ = observation{object.revision, now()};
+    }
+    const duration seen_for = now() - other_->first_seen;
+    if (is_active(object.content)) {
+        return seen_for >= settings_.takeover_after + settings_.turn_spacing ? claim_refusal::none
+                                                                             : claim_refusal::held_by_other;
+    }
+    return seen_for >= settings_.turn_spacing ? claim_refusal::none : claim_refusal::spacing;
+}
+
+void duty_lease::write_claim(std::uint64_t revision, const std::string& purpose, const claim_handler& done) {
+    stored_object object;
+    object.name = object_name;
+    object.revision = revision;
+    object.content = {{"holder", holder_},
+                      {"incarnation", incarnation_},
+                      {"claim", ++claim_number_},
+                      {"active", true},
+                      {"purpose", purpose}};
+    // The tenure counts from before the claim is sent: the store may act on it at any later moment.
+    sent_at_ = now();
+    store_.put(collection::duties, object,
+               [this, done, alive = std::weak_ptr<bool>(alive_)](const store_answer& answer) {
+                   if (!alive.expired()) {
+                       on_written(answer, done);
+                   }
+               });
+}
+
+void duty_lease::on_written(const store_answer& answer, const claim_handler& done) {
+    if (answer.outcome == store_outcome::done && answer.object) {
+        grant(answer.object->revision, done);
+        return;
+    }
+    if (answer.outcome == store_outcome::unknown) {
+        read_back(done);
+        return;
+    }
+    done(std::nullopt, answer.outcome == store_outcome::conflict ? claim_refusal::lost_race
+                                                                 : claim_refusal::store_unreachable);
+}
+
+void duty_lease::read_back(const claim_handler& done) {
+    store_.get(collection::duties, std::string(object_name),
+               [this, done, alive = std::weak_ptr<bool>(alive_)](const store_answer& answer) {
+                   if (alive.expired()) {
+                       return;
+                   }
+                   if (answer.outcome == store_outcome::done && answer.object &&
+                       is_own_claim(*answer.object)) {
+                       grant(answer.object->revision, done);
+                       return;
+                   }
+                   done(std::nullopt, claim_refusal::store_unreachable);
+               });
+}
+
+bool duty_lease::is_own_claim(const stored_object& object) const {
+    const nlohmann::json::const_iterator number = object.content.find("claim");
+    return text_of(object.content, "holder") == holder_ &&
+           text_of(object.content, "incarnation") == incarnation_ && is_active(object.content) &&
+           number != object.content.end() && number->is_number_unsigned() &&
+           number->get<std::uint64_t>() == claim_number_;
+}
+
+void duty_lease::grant(std::uint64_t revision, const claim_handler& done) {
+    held_ = true;
+    token_ = revision;
+    log_.write(log_level::info, "failover", "duty_claimed", {{"token", token_}, {"holder", holder_}});
+    done(token_, claim_refusal::none);
+}
+
+void duty_lease::release() {
+    if (!held_) {
+        return;
+    }
+    held_ = false;
+    stored_object object;
+    object.name = object_name;
+    object.revision = token_;
+    object.content = {
+        {"holder", holder_}, {"incarnation", incarnation_}, {"claim", claim_number_}, {"active", false}};
+    store_.put(collection::duties, object, [&log = log_, token = token_](const store_answer& answer) {
+        log.write(log_level::info, "failover", "duty_released",
+                  {{"token", token}, {"outcome", to_string(answer.outcome)}});
+    });
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/failover/duty_lease.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "gentianhill/core/logger.h"
+#include "gentianhill/core/time.h"
+#include "gentianhill/metadata/store_port.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace gentianhill {
+
+/// Times of the lease on the failover duty.
+struct duty_lease_settings {
+    /// Time from the sending of a claim for which its holder may act.
+    duration tenure = std::chrono::milliseconds(4000);
+    /// Time after which a claim that nobody released may be taken over, counted from when it was first seen
+    /// here. It exceeds `tenure` by more than a call can take, so that two holders never act at the same
+    /// time.
+    duration takeover_after = std::chrono::milliseconds(5500);
+    /// Shortest time between the turns of two holders; zero when the platform asks for none.
+    duration turn_spacing{0};
+};
+
+/// Why a claim was not granted.
+enum class claim_refusal : std::uint8_t { none, held_by_other, lost_race, store_unreachable, spacing };
+
+/// Name of a refusal for logs.
+[[nodiscard]] std::string_view to_string(claim_refusal reason);
+
+/// Lease on the duty of promoting instances: one object of the metadata store, claimed by conditional writes
+/// only when there is something to do, and released afterwards. The fencing token is the store's revision of
+/// the claim, which only rises, also when the object was deleted in between.
+class duty_lease {
+public:
+    using claim_handler = std::function<void(std::optional<std::uint64_t> token, claim_refusal reason)>;
+
+    /// `store` and `log` must outlive the lease. `holder` is the daemon's name, `incarnation` tells its
+    /// processes apart.
+    duty_lease(store_port& store, logger& log, const duty_lease_settings& settings, std::string holder,
+               std::string incarnation);
+
+    /// Time that counts while the host is suspended.
+    std::function<time_point()> now;
+
+    /// Asks for the duty; answers with the fencing token, or with the reason why not.
+    void claim(const std::string& purpose, claim_handler done);
+    /// True while the holder may act; ask again right before each action.
+    [[nodiscard]] bool is_held() const;
+    /// Token of the claim that is held.
+    [[nodiscard]] std::uint64_t token() const { return token_; }
+    /// Gives the duty back, so that others need not wait for the tenure to end.
+    void release();
+
+private:
+    struct observation {
+        std::uint64_t revision = 0;
+        time_point first_seen;
+    };
+
+    void decide(const store_answer& answer, const std::string& purpose, const claim_handler& done);
+    [[nodiscard]] claim_refusal judge(const stored_object& object);
+    void write_claim(std::uint64_t revision, const std::string& purpose, const claim_handler& done);
+    void on_written(const store_answer& answer, const claim_handler& done);
+    void read_back(const claim_handler& done);
+    [[nodiscard]] bool is_own_claim(const stored_object& object) const;
+    void grant(std::uint64_t revision, const claim_handler& done);
+
+    store_port& store_;
+    logger& log_;
+    duty_lease_settings settings_;
+    std::string holder_;
+    std::string incarnation_;
+    std::optional<observation> other_;
+    /// Number of the claim within this process; tells claims apart when an answer is lost.
+    std::uint64_t claim_number_ = 0;
+    std::optional<time_point> sent_at_;
+    bool held_ = false;
+    std::uint64_t token_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -0,0 +1,341 @@
+#include "gentianhill/failover/fenced_promotion.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::array<std::string_view, 10> end_names{
+    "promoted",     "superseded", "replica_unreachable", "members_unknown", "still_replicating",
+    "duty_refused", "fence_lost", "tenure_over",         "call_rejected",   "outcome_unknown"};
+
+/// Two statuses this far apart show whether a primary that cannot be reached from here still replicates.
+constexpr duration replication_check = 200ms;
+/// Pause after the platform has refused a call because of its rate.
+constexpr duration throttle_pause = 100ms;
+
+} // namespace
+
+std::string_view to_string(promotion_end end) {
+    return end_names.at(static_cast<std::size_t>(end));
+}
+
+fenced_promotion::fenced_promotion(std::string group, duty_lease& lease, logger& log,
+                                   const fenced_promotion_settings& settings, promotion_hooks hooks)
+    : group_(std::move(group)), lease_(lease), log_(log), settings_(settings), hooks_(std::move(hooks)) {}
+
+void fenced_promotion::start(std::vector<promotion_member> members, const std::string& old_primary,
+                             term_number known_term, primary_verdict verdict, bool tolerate_replication,
+                             std::function<void(promotion_end, const std::string& id)> done) {
+    old_primary_ = old_primary;
+    known_term_ = known_term;
+    verdict_ = verdict;
+    tolerate_replication_ = tolerate_replication;
+    done_ = std::move(done);
+    started_at_ = hooks_.now();
+    for (promotion_member& member : members) {
+        if (member.id != old_primary) {
+            replicas_.push_back(std::move(member));
+        }
+    }
+    log_.write(log_level::info, "failover", "promotion_started",
+               {{"group", group_},
+                {"old_primary", old_primary_},
+                {"term", known_term_},
+                {"verdict", to_string(verdict_)},
+                {"replicas", replicas_.size()}});
+    if (replicas_.empty()) {
+        finish(promotion_end::replica_unreachable);
+        return;
+    }
+    survey();
+}
+
+void fenced_promotion::ask_all(bool fence, void (fenced_promotion::*next)()) {
+    answers_.clear();
+    unanswered_ = replicas_.size();
+    refused_ = false;
+    const std::shared_ptr<fenced_promotion> self = shared_from_this();
+    // Copied, since an answer may arrive at once and end the promotion.
+    const std::vector<promotion_member> asked = replicas_;
+    for (const promotion_member& replica : asked) {
+        promotion_hooks::answer_handler handler =
+            [self, next, id = replica.id](const std::optional<member_answer>& answer) {
+                --self->unanswered_;
+                if (answer) {
+                    self->answers_.insert_or_assign(id, *answer);
+                } else {
+                    self->refused_ = true;
+                    self->log_.write(log_level::warning, "failover", "replica_silent",
+                                     {{"group", self->group_}, {"instance", id}});
+                }
+                if (self->unanswered_ > 0) {
+                    return;
+                }
+                if (self->refused_) {
+                    self->finish(promotion_end::replica_unreachable);
+                } else {
+                    ((*self).*next)();
+                }
+            };
+        if (fence) {
+            hooks_.fence(replica.id, fence_term_, std::move(handler));
+        } else {
+            hooks_.ask_status(replica.id, std::move(handler));
+        }
+    }
+}
+
+log_position fenced_promotion::longest_log() const {
+    log_position longest;
+    for (const std::map<std::string, member_answer>::value_type& answer : answers_) {
+        longest = std::max(longest, answer.second.status.received);
+    }
+    return longest;
+}
+
+void fenced_promotion::survey() {
+    ask_all(false, &fenced_promotion::on_surveyed);
+}
+
+void fenced_promotion::on_surveyed() {
+    term_number newest = known_term_;
+    term_number fenced = 0;
+    for (const std::map<std::string, member_answer>::value_type& answer : answers_) {
+        const instance_status& status = answer.second.status;
+        if (status.is_primary && status.term >= known_term_) {
+            finish(promotion_end::superseded);
+            return;
+        }
+        newest = std::max(newest, status.term);
+        fenced = std::max(fenced, status.fenced_term);
+    }
+    fence_term_ = std::max(newest + 1, fenced);
+    surveyed_log_ = longest_log();
+    // A primary that is out of reach only from here goes on replicating, and others go on using it.
+    const bool is_fenced = fenced > newest;
+    if (verdict_ == primary_verdict::unreachable && !is_fenced && !tolerate_replication_) {
+        hooks_.call_after(replication_check, [self = shared_from_this()] {
+            self->ask_all(false, &fenced_promotion::on_surveyed_again);
+        });
+        return;
+    }
+    claim();
+}
+
+void fenced_promotion::on_surveyed_again() {
+    if (longest_log() > surveyed_log_) {
+        finish(promotion_end::still_replicating);
+        return;
+    }
+    claim();
+}
+
+void fenced_promotion::claim() {
+    lease_.claim(group_,
+                 [self = shared_from_this()](std::optional<std::uint64_t> token, claim_refusal reason) {
+                     if (token) {
+                         self->on_claimed();
+                         return;
+                     }
+                     self->log_.write(log_level::info, "failover", "duty_refused",
+                                      {{"group", self->group_}, {"reason", to_string(reason)}});
+                     self->finish(promotion_end::duty_refused);
+                 });
+}
+
+void fenced_promotion::on_claimed() {
+    // An instance that started just now may already acknowledge commits of the old primary.
+    hooks_.list_members(
+        [self = shared_from_this()](const std::optional<std::vector<promotion_member>>& listed) {
+            if (!listed) {
+                self->finish(promotion_end::members_unknown);
+                return;
+            }
+            self->add_unknown_members(*listed);
+            self->fence_all();
+        });
+}
+
+void fenced_promotion::add_unknown_members(const std::vector<promotion_member>& listed) {
+    for (const promotion_member& member : listed) {
+        const bool known =
+            member.id == old_primary_ ||
+            std::any_of(replicas_.begin(), replicas_.end(),
+                        [&member](const promotion_member& replica) { return replica.id == member.id; });
+        if (!known) {
+            replicas_.push_back(member);
+        }
+    }
+}
+
+void fenced_promotion::fence_all() {
+    ask_all(true, &fenced_promotion::on_fenced);
+}
+
+void fenced_promotion::on_fenced() {
+    fenced_ = answers_;
+    for (const std::map<std::string, member_answer>::value_type& answer : fenced_) {
+        const instance_status& status = answer.second.status;
+        log_.write(log_level::info, "failover", "replica_fenced",
+                   {{"group", group_},
+                    {"instance", answer.first},
+                    {"term", status.fenced_term},
+                    {"log_term", status.received.term},
+                    {"log_position", status.received.position}});
+        if (status.is_primary) {
+            finish(promotion_end::superseded);
+            return;
+        }
+        if (status.fenced_term < fence_term_) {
+            finish(promotion_end::fence_lost);
+            return;
+        }
+    }
+    if (!old_primary_.empty()) {
+        hooks_.step_down(old_primary_, fence_term_);
+    }
+    hooks_.call_after(settings_.trust_wait, [self = shared_from_this()] { self->verify(); });
+}
+
+void fenced_promotion::verify() {
+    ask_all(false, &fenced_promotion::on_verified);
+}
+
+void fenced_promotion::on_verified() {
+    for (const std::map<std::string, member_answer>::value_type& answer : answers_) {
+        const member_answer& before = fenced_.at(answer.first);
+        const member_answer& after = answer.second;
+        // A restart ends the connection, and with it the fence and the log that the choice rests on.
+        if (before.connection != after.connection || after.status.fenced_term < fence_term_ ||
+            after.status.received != before.status.received) {
+            finish(promotion_end::fence_lost);
+            return;
+        }
+    }
+    chosen_ = longest_replica();
+    if (chosen_.empty()) {
+        finish(promotion_end::replica_unreachable);
+        return;
+    }
+    called_at_ = hooks_.now();
+    call();
+}
+
+std::string fenced_promotion::longest_replica() const {
+    const log_position longest = longest_log();
+    std::string draining;
+    for (const promotion_member& replica : replicas_) {
+        if (answers_.at(replica.id).status.received != longest) {
+            continue;
+        }
+        if (!replica.draining) {
+            return replica.id;
+        }
+        draining = replica.id;
+    }
+    // A leaving instance that alone holds the longest log leads until it is replaced in turn.
+    return draining;
+}
+
+void fenced_promotion::call() {
+    if (!lease_.is_held()) {
+        finish(called_ ? promotion_end::outcome_unknown : promotion_end::tenure_over);
+        return;
+    }
+    called_ = true;
+    last_call_at_ = hooks_.now();
+    log_.write(log_level::info, "failover", "promotion_called",
+               {{"group", group_}, {"instance", chosen_}, {"token", lease_.token()}, {"term", fence_term_}});
+    hooks_.promote(chosen_, lease_.token(),
+                   [self = shared_from_this()](promote_outcome outcome) { self->on_called(outcome); });
+}
+
+void fenced_promotion::on_called(promote_outcome outcome) {
+    last_call_ = outcome;
+    switch (outcome) {
+    case promote_outcome::rejected:
+        finish(promotion_end::call_rejected);
+        return;
+    case promote_outcome::throttled:
+        hooks_.call_after(throttle_pause, [self = shared_from_this()] { self->call(); });
+        return;
+    case promote_outcome::accepted:
+    case promote_outcome::unknown:
+        wait_for_effect();
+        return;
+    }
+}
+
+void fenced_promotion::wait_for_effect() {
+    hooks_.call_after(settings_.effect_poll, [self = shared_from_this()] {
+        self->hooks_.ask_status(self->chosen_, [self](const std::optional<member_answer>& answer) {
+            self->on_effect_status(answer);
+        });
+    });
+}
+
+void fenced_promotion::on_effect_status(const std::optional<member_answer>& answer) {
+    if (answer && answer->status.is_primary && answer->status.term > known_term_) {
+        fence_term_ = answer->status.term;
+        finish(promotion_end::promoted);
+        return;
+    }
+    const time_point current = hooks_.now();
+    if (current - called_at_ >= settings_.effect_limit) {
+        finish(promotion_end::outcome_unknown);
+        return;
+    }
+    if (last_call_ == promote_outcome::unknown && current - last_call_at_ >= settings_.repeat_after) {
+        call();
+        return;
+    }
+    wait_for_effect();
+}
+
+void fenced_promotion::take_back_fences() {
+    // Without the duty, somebody else may rely on these fences by now.
+    if (!lease_.is_held()) {
+        return;
+    }
+    for (const promotion_member& replica : replicas_) {
+        hooks_.unfence(replica.id);
+    }
+}
+
+void fenced_promotion::finish(promotion_end end) {
+    if (!done_) {
+        return;
+    }
+    const bool may_take_effect = end == promotion_end::outcome_unknown;
+    if (end == promotion_end::promoted) {
+        if (!old_primary_.empty()) {
+            hooks_.step_down(old_primary_, fence_term_);
+        }
+        for (const promotion_member& replica : replicas_) {
+            if (replica.id != chosen_) {
+                hooks_.unfence(replica.id);
+            }
+        }
+    } else if (!may_take_effect && fence_term_ != 0) {
+        take_back_fences();
+    }
+    lease_.release();
+    log_.write(end == promotion_end::promoted ? log_level::info : log_level::warning, "failover",
+               "promotion_ended",
+               {{"group", group_},
+                {"result", to_string(end)},
+                {"instance", chosen_},
+                {"term", fence_term_},
+                {"ms", to_milliseconds(hooks_.now() - started_at_)}});
+    const std::function<void(promotion_end, const std::string&)> done = std::move(done_);
+    done_ = nullptr;
+    done(end, chosen_);
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/failover/primary_watch.cpp
@@ -0,0 +1,77 @@
+#include "gentianhill/failover/primary_watch.h"
+
+#include <array>
+
+namespace gentianhill {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> verdict_names{"healthy", "unreachable", "not_committing", "leaving",
+                                                        "missing"};
+/// One failure can be a connection that broke; two in a row without an answer between are a sign.
+constexpr std::int64_t min_failures = 2;
+
+} // namespace
+
+std::string_view to_string(primary_verdict verdict) {
+    return verdict_names.at(static_cast<std::size_t>(verdict));
+}
+
+void primary_watch::reset(bool has_primary, time_point now) {
+    has_primary_ = has_primary;
+    leaving_ = false;
+    missing_since_ = now;
+    last_answer_ = now;
+    failures_ = 0;
+    refusals_ = 0;
+    last_commit_sent_.reset();
+    commit_stalled_ = false;
+}
+
+void primary_watch::on_answer(time_point now) {
+    last_answer_ = now;
+    failures_ = 0;
+    refusals_ = 0;
+}
+
+void primary_watch::on_failure(bool refused, time_point /*now*/) {
+    ++failures_;
+    if (refused) {
+        ++refusals_;
+    }
+}
+
+void primary_watch::on_commit_acknowledged(time_point sent_at) {
+    if (!last_commit_sent_ || *last_commit_sent_ < sent_at) {
+        last_commit_sent_ = sent_at;
+    }
+    commit_stalled_ = false;
+}
+
+void primary_watch::on_commit_waiting(time_point sent_at, time_point now) {
+    // A later commit that was acknowledged shows that this one is only slow.
+    const bool overtaken = last_commit_sent_ && *last_commit_sent_ > sent_at;
+    if (!overtaken && now - sent_at >= settings_.commit_limit) {
+        commit_stalled_ = true;
+    }
+}
+
+primary_verdict primary_watch::verdict(time_point now) const {
+    if (!has_primary_) {
+        return now - missing_since_ >= settings_.missing_limit ? primary_verdict::missing
+                                                               : primary_verdict::healthy;
+    }
+    const duration silent_for = silence(now);
+    if (failures_ >= min_failures && silent_for >= settings_.silent_limit) {
+        return primary_verdict::unreachable;
+    }
+    if (refusals_ >= min_failures && silent_for >= settings_.refused_limit) {
+        return primary_verdict::unreachable;
+    }
+    if (commit_stalled_) {
+        return primary_verdict::not_committing;
+    }
+    return leaving_ ? primary_verdict::leaving : primary_verdict::healthy;
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/failover/primary_watch.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "gentianhill/core/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace gentianhill {
+
+/// Why a primary should be replaced.
+enum class primary_verdict : std::uint8_t {
+    /// It serves.
+    healthy,
+    /// It has not answered anything for too long.
+    unreachable,
+    /// It answers, but no commit is acknowledged.
+    not_committing,
+    /// It has announced that it leaves.
+    leaving,
+    /// No instance takes itself for the primary.
+    missing,
+};
+
+/// Name of a verdict for logs.
+[[nodiscard]] std::string_view to_string(primary_verdict verdict);
+
+/// Limits of a primary watch.
+struct primary_watch_settings {
+    /// Silence, with at least two failed probes, after which a primary counts as unreachable. The slowest
+    /// answers of a healthy instance under load take less.
+    duration silent_limit = std::chrono::milliseconds(700);
+    /// The same for a primary that refuses connections, which a loaded one does not do.
+    duration refused_limit = std::chrono::milliseconds(300);
+    /// Time for which a commit may wait while none is acknowledged.
+    duration commit_limit = std::chrono::milliseconds(900);
+    /// Time for which no instance may claim to be the primary.
+    duration missing_limit = std::chrono::milliseconds(1500);
+};
+
+/// Judges one database group's primary from the answers to statements and probes.
+class primary_watch {
+public:
+    explicit primary_watch(const primary_watch_settings& settings) : settings_(settings) {}
+
+    /// Starts again for another primary, or for none.
+    void reset(bool has_primary, time_point now);
+    /// The primary has answered anything.
+    void on_answer(time_point now);
+    /// A probe or a connection attempt has failed.
+    void on_failure(bool refused, time_point now);
+    /// A commit that changes data was sent at `sent_at` and acknowledged.
+    void on_commit_acknowledged(time_point sent_at);
+    /// A commit that changes data has waited since `sent_at`.
+    void on_commit_waiting(time_point sent_at, time_point now);
+    /// The primary has announced that it leaves, or has taken that back.
+    void set_leaving(bool leaving) { leaving_ = leaving; }
+    /// Judgement of now.
+    [[nodiscard]] primary_verdict verdict(time_point now) const;
+    /// Time since the last answer; a probe is due when it grows.
+    [[nodiscard]] duration silence(time_point now) const { return now - last_answer_; }
+
+private:
+    primary_watch_settings settings_;
+    bool has_primary_ = false;
+    bool leaving_ = false;
+    time_point missing_since_;
+    time_point last_answer_;
+    std::int64_t failures_ = 0;
+    std::int64_t refusals_ = 0;
+    std::optional<time_point> last_commit_sent_;
+    bool commit_stalled_ = false;
+};
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/freshness/read_points.cpp
@@ -0,0 +1,47 @@
+#include "gentianhill/freshness/read_points.h"
+
+namespace gentianhill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Points closer together than this are merged, which bounds the memory; a read becomes at most this much
+/// fresher than it has to be.
+constexpr duration spacing = 25ms;
+/// Points older than the longest staleness that any route is expected to allow are of no use.
+constexpr duration retention = 10s;
+
+} // namespace
+
+void read_points::add(log_position position, time_point sent_at) {
+    if (!points_.empty() && sent_at < points_.back().sent_at) {
+        return;
+    }
+    // The last point is always the newest one; the one before it keeps its distance.
+    if (points_.size() >= 2 && points_.back().sent_at - points_[points_.size() - 2].sent_at < spacing) {
+        points_.back() = {position, sent_at};
+    } else {
+        points_.push_back({position, sent_at});
+    }
+    while (points_.front().sent_at + retention < sent_at) {
+        points_.pop_front();
+    }
+}
+
+std::optional<log_position> read_points::at_least(time_point oldest, time_point trusted_until) const {
+    // Recent points are the likely ones, so the search starts at the back.
+    std::optional<log_position> found;
+    for (std::deque<point>::const_reverse_iterator entry = points_.rbegin(); entry != points_.rend();
+         ++entry) {
+        if (entry->sent_at < oldest) {
+            break;
+        }
+        if (entry->sent_at <= trusted_until) {
+            found = entry->position;
+        }
+    }
+    return found;
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/metadata/store_port.cpp
@@ -0,0 +1,24 @@
+#include "gentianhill/metadata/store_port.h"
+
+#include <array>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> collection_names{"instances", "configuration", "duties", "proxies"};
+constexpr std::array<std::string_view, 6> outcome_names{"done",         "not_found", "conflict",
+                                                        "history_lost", "refused",   "unknown"};
+
+} // namespace
+
+std::string_view to_string(collection which) {
+    return collection_names.at(static_cast<std::size_t>(which));
+}
+
+std::string_view to_string(store_outcome outcome) {
+    return outcome_names.at(static_cast<std::size_t>(outcome));
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/client_session.cpp
@@ -0,0 +1,489 @@
+#include "gentianhill/proxy/client_session.h"
+
+#include "gentianhill/proxy/proxy_instance.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Pause before a statement of a transaction is repeated at an instance that was full.
+constexpr duration busy_pause = 12ms;
+constexpr std::uint32_t max_pinned_attempts = 8;
+
+bool is_promise(statement_outcome outcome) {
+    return outcome >= statement_outcome::busy && outcome <= statement_outcome::denied;
+}
+
+} // namespace
+
+client_session::client_session(std::string database, const session_environment& environment, logger& log,
+                               proxy_counters& counters)
+    : database_(std::move(database)), environment_(environment), log_(log), counters_(counters) {}
+
+client_session::~client_session() {
+    if (task_) {
+        task_->abandon();
+    }
+    alive_.reset();
+    if (transaction_) {
+        release_pinned();
+    }
+}
+
+void client_session::submit(statement next) {
+    queue_.push_back(std::move(next));
+    run_next();
+}
+
+transaction_state client_session::state() const {
+    if (!transaction_) {
+        return transaction_state::idle;
+    }
+    return transaction_->failed ? transaction_state::failed : transaction_state::open;
+}
+
+void client_session::run_next() {
+    // Local statements answer at once and call this again; the loop keeps that from nesting.
+    if (running_) {
+        return;
+    }
+    running_ = true;
+    const std::weak_ptr<bool> alive = alive_;
+    while (!busy_ && !queue_.empty()) {
+        current_ = std::move(queue_.front());
+        queue_.pop_front();
+        busy_ = true;
+        received_at_ = environment_.now();
+        pinned_attempts_ = 0;
+        if (transaction_) {
+            transaction_->last_activity = received_at_;
+        }
+        run(current_);
+        if (alive.expired()) {
+            return;
+        }
+    }
+    running_ = false;
+}
+
+void client_session::run(const statement& next) {
+    if (transaction_ && transaction_->failed && next.kind != statement_kind::commit &&
+        next.kind != statement_kind::rollback) {
+        fail(statement_outcome::malformed, "the transaction has failed; roll it back");
+        return;
+    }
+    switch (next.kind) {
+    case statement_kind::begin:
+    case statement_kind::begin_read:
+        run_begin(next);
+        return;
+    case statement_kind::rollback:
+        run_rollback();
+        return;
+    case statement_kind::set_value:
+    case statement_kind::prepare:
+    case statement_kind::deallocate:
+        run_local(next);
+        return;
+    case statement_kind::malformed:
+        fail(statement_outcome::malformed, next.text);
+        return;
+    default:
+        run_remote(next);
+        return;
+    }
+}
+
+void client_session::run_local(const statement& next) {
+    switch (next.kind) {
+    case statement_kind::set_value:
+        values_.set_value(next.name, next.argument);
+        break;
+    case statement_kind::prepare:
+        if (!values_.prepare(next.name, {next.argument, next.writes})) {
+            fail(statement_outcome::too_large, "too many prepared statements");
+            return;
+        }
+        break;
+    default:
+        if (!values_.deallocate(next.name)) {
+            fail(statement_outcome::no_statement, next.name);
+            return;
+        }
+        break;
+    }
+    answer_done();
+}
+
+void client_session::run_begin(const statement& next) {
+    if (transaction_) {
+        fail(statement_outcome::malformed, "a transaction is open already");
+        return;
+    }
+    std::shared_ptr<const route> through = environment_.find_route(database_);
+    database_group* group = through ? environment_.find_group(through->group) : nullptr;
+    if (through == nullptr) {
+        fail(statement_outcome::unknown_database, database_);
+        return;
+    }
+    if (group == nullptr) {
+        fail(statement_outcome::busy, "no instance is known");
+        return;
+    }
+    // The instance's transaction is opened with the first statement, so an idle one holds no connection.
+    open_transaction opened;
+    opened.reads_only = next.kind == statement_kind::begin_read;
+    opened.first_byte = received_at_;
+    opened.last_activity = received_at_;
+    opened.through = std::move(through);
+    opened.group = group;
+    transaction_ = opened;
+    answer_done();
+}
+
+void client_session::run_rollback() {
+    if (transaction_) {
+        release_pinned();
+        transaction_.reset();
+    }
+    answer_done();
+}
+
+bool client_session::writes(const statement& text) const {
+    if (text.kind == statement_kind::execute) {
+        const prepared_statement* prepared = values_.find_prepared(text.name);
+        return prepared != nullptr && prepared->writes;
+    }
+    return text.kind == statement_kind::write;
+}
+
+const prepared_statement* client_session::needed() const {
+    return current_.kind == statement_kind::execute ? values_.find_prepared(current_.name) : nullptr;
+}
+
+void client_session::run_remote(const statement& next) {
+    if (next.kind == statement_kind::execute && values_.find_prepared(next.name) == nullptr) {
+        fail(statement_outcome::no_statement, next.name);
+        return;
+    }
+    if (next.kind == statement_kind::commit) {
+        if (!transaction_) {
+            fail(statement_outcome::malformed, "no transaction is open");
+            return;
+        }
+        if (transaction_->failed) {
+            release_pinned();
+            transaction_.reset();
+            fail(statement_outcome::aborted, "the transaction was rolled back");
+            return;
+        }
+    }
+    if (transaction_ && transaction_->reads_only && writes(next)) {
+        fail(statement_outcome::read_only, "the transaction only reads");
+        return;
+    }
+    if (transaction_ && transaction_->connection != nullptr) {
+        run_pinned(next);
+    } else {
+        run_unpinned(next);
+    }
+}
+
+statement_task::request client_session::make_request(const statement& next) const {
+    statement_task::request request;
+    request.text = next;
+    request.session = &values_;
+    request.writes = writes(next);
+    request.received_at = received_at_;
+    request.session_position = position_;
+    request.fresh_after = fresh_after_;
+    if (transaction_) {
+        request.through = transaction_->through;
+        request.first_byte = transaction_->first_byte;
+        request.access = transaction_->reads_only ? access_kind::read_transaction : access_kind::transaction;
+    } else {
+        request.first_byte = received_at_;
+        request.access = request.writes ? access_kind::write : access_kind::read;
+    }
+    return request;
+}
+
+void client_session::run_unpinned(const statement& next) {
+    statement_task::request request = make_request(next);
+    database_group* group = transaction_ ? transaction_->group : nullptr;
+    if (!transaction_) {
+        request.through = environment_.find_route(database_);
+        if (request.through == nullptr) {
+            fail(statement_outcome::unknown_database, database_);
+            return;
+        }
+        group = environment_.find_group(request.through->group);
+        if (group == nullptr) {
+            fail(statement_outcome::busy, "no instance is known");
+            return;
+        }
+    }
+    task_ = std::make_shared<statement_task>(
+        *group, std::move(request),
+        [this, alive = std::weak_ptr<bool>(alive_)](statement_result& result, pooled_connection* connection) {
+            if (!alive.expired()) {
+                on_unpinned(result, connection);
+            }
+        });
+    const std::shared_ptr<statement_task> started = task_;
+    started->start();
+}
+
+void client_session::on_unpinned(statement_result& result, pooled_connection* connection) {
+    task_.reset();
+    const bool wrote = writes(current_);
+    if (!transaction_) {
+        if (result.outcome == statement_outcome::done && wrote) {
+            after_commit(result, true);
+        }
+        result.state = transaction_state::idle;
+        answer(std::move(result));
+        return;
+    }
+    if (result.outcome != statement_outcome::done) {
+        if (current_.kind == statement_kind::commit) {
+            transaction_.reset();
+        } else {
+            transaction_->failed = true;
+        }
+        result.state = state();
+        answer(std::move(result));
+        return;
+    }
+    if (connection != nullptr) {
+        pin(*connection);
+        transaction_->wrote = wrote;
+    } else {
+        transaction_.reset();
+    }
+    result.state = state();
+    answer(std::move(result));
+}
+
+void client_session::pin(pooled_connection& connection) {
+    transaction_->connection = &connection;
+    connection.on_lost = [this] { on_pinned_lost(); };
+}
+
+void client_session::run_pinned(const statement& next) {
+    retry_at_.reset();
+    pooled_connection& connection = *transaction_->connection;
+    const std::vector<setup_step> steps = connection.held.plan(values_, needed());
+    if (steps.empty()) {
+        send_pinned(next);
+        return;
+    }
+    transaction_->group->send_setup(
+        connection, steps, [this, alive = std::weak_ptr<bool>(alive_)](bool ready) {
+            if (alive.expired() || !transaction_ || transaction_->connection == nullptr) {
+                return;
+            }
+            if (!ready) {
+                release_pinned();
+                transaction_->failed = true;
+                fail(statement_outcome::aborted, "the session could not be set up");
+                return;
+            }
+            send_pinned(current_);
+        });
+}
+
+void client_session::send_pinned(const statement& next) {
+    ++pinned_attempts_;
+    sent_at_ = environment_.now();
+    const std::string shared_name = needed() != nullptr ? shared_statement_name(*needed()) : std::string{};
+    instance_command command = make_statement_command(next, shared_name);
+    command.changes_data = next.kind == statement_kind::commit && transaction_->wrote;
+    transaction_->connection->send(command,
+                                   [this, alive = std::weak_ptr<bool>(alive_)](instance_answer& answer) {
+                                       if (!alive.expired()) {
+                                           on_pinned(answer);
+                                       }
+                                   });
+}
+
+void client_session::on_pinned(instance_answer& answered) {
+    if (!transaction_ || transaction_->connection == nullptr || !busy_) {
+        return;
+    }
+    statement_result& result = answered.result;
+    const bool commits = current_.kind == statement_kind::commit;
+    if (result.outcome == statement_outcome::busy && result.state == transaction_state::open &&
+        pinned_attempts_ < max_pinned_attempts) {
+        retry_at_ = environment_.now() + busy_pause;
+        return;
+    }
+    if (result.outcome == statement_outcome::read_only) {
+        transaction_->group->on_not_primary(transaction_->connection->owner().listed().id);
+    }
+    if (result.outcome == statement_outcome::done) {
+        if (commits) {
+            after_commit(result, transaction_->wrote);
+            release_pinned();
+            transaction_.reset();
+        } else if (writes(current_)) {
+            transaction_->wrote = true;
+        }
+        result.state = state();
+        answer(std::move(result));
+        return;
+    }
+    log_.write(log_level::info, "transaction", "statement_failed",
+               {{"id", current_.id},
+                {"group", transaction_->through->group},
+                {"instance", transaction_->connection->owner().listed().id},
+                {"outcome", to_string(result.outcome)},
+                {"commit", commits}});
+    // The transaction is over at the instance as well, whatever the failed statement left.
+    release_pinned();
+    if (commits) {
+        transaction_.reset();
+    } else {
+        transaction_->failed = true;
+    }
+    result.state = state();
+    answer(std::move(result));
+}
+
+void client_session::on_pinned_lost() {
+    transaction_->connection = nullptr;
+    transaction_->failed = true;
+    retry_at_.reset();
+    if (!busy_) {
+        return;
+    }
+    const bool commits = current_.kind == statement_kind::commit;
+    const bool unknown = commits && transaction_->wrote;
+    log_.write(log_level::info, "transaction", "connection_lost",
+               {{"id", current_.id}, {"group", transaction_->through->group}, {"commit", commits}});
+    if (commits) {
+        transaction_.reset();
+    }
+    fail(unknown ? statement_outcome::in_doubt : statement_outcome::aborted,
+         "connection to the instance lost");
+}
+
+void client_session::release_pinned() {
+    if (!transaction_ || transaction_->connection == nullptr) {
+        return;
+    }
+    pooled_connection* connection = transaction_->connection;
+    transaction_->connection = nullptr;
+    connection->on_lost = nullptr;
+    if (connection->has_unanswered() && connection->is_open()) {
+        // The client has left in the middle of a statement; closing the connection rolls back.
+        connection->owner().drop(*connection, link_end::lost);
+        return;
+    }
+    transaction_->group->return_connection(*connection);
+}
+
+void client_session::after_commit(const statement_result& result, bool wrote) {
+    if (!wrote) {
+        return;
+    }
+    if (transaction_ && transaction_->connection != nullptr) {
+        transaction_->group->on_commit_acknowledged(transaction_->connection->owner(), result, sent_at_);
+    }
+    if (result.position) {
+        position_ = position_ ? std::max(*position_, *result.position) : *result.position;
+    } else {
+        fresh_after_ = environment_.now();
+    }
+}
+
+void client_session::tick() {
+    const time_point now = environment_.now();
+    if (!transaction_) {
+        return;
+    }
+    if (!busy_) {
+        const duration limit = environment_.transaction_idle_limit();
+        if (limit > duration(0) && now - transaction_->last_activity > limit && !transaction_->failed) {
+            log_.write(log_level::info, "transaction", "idle_limit_reached",
+                       {{"group", transaction_->through->group}, {"limit_ms", to_milliseconds(limit)}});
+            end_transaction();
+        }
+        return;
+    }
+    if (transaction_->connection == nullptr) {
+        return;
+    }
+    if (now >= received_at_ + transaction_->through->timeout) {
+        const bool unknown = current_.kind == statement_kind::commit && transaction_->wrote && !retry_at_;
+        const bool commits = current_.kind == statement_kind::commit;
+        retry_at_.reset();
+        release_pinned();
+        transaction_->failed = true;
+        if (commits) {
+            transaction_.reset();
+        }
+        fail(unknown ? statement_outcome::in_doubt : statement_outcome::aborted,
+             "timeout of the route reached");
+        return;
+    }
+    if (retry_at_ && now >= *retry_at_) {
+        run_pinned(current_);
+    }
+}
+
+void client_session::end_transaction() {
+    if (!transaction_ || busy_) {
+        return;
+    }
+    release_pinned();
+    transaction_->failed = true;
+}
+
+void client_session::fail(statement_outcome outcome, std::string_view detail) {
+    if (transaction_ && !transaction_->failed) {
+        release_pinned();
+        transaction_->failed = true;
+    }
+    answer(make_refusal(outcome, detail, state()));
+}
+
+void client_session::answer_done() {
+    statement_result result;
+    result.state = state();
+    answer(std::move(result));
+}
+
+void client_session::answer(statement_result result) {
+    busy_ = false;
+    counters_.statements.add();
+    counters_.latency.record(environment_.now() - received_at_);
+    if (transaction_) {
+        transaction_->last_activity = environment_.now();
+    }
+    if (result.outcome != statement_outcome::done) {
+        if (is_promise(result.outcome)) {
+            counters_.refused.add();
+        } else if (result.outcome == statement_outcome::in_doubt) {
+            counters_.in_doubt.add();
+        }
+        log_.write(log_level::info, "statement", "refused",
+                   {{"id", current_.id},
+                    {"database", database_},
+                    {"outcome", to_string(result.outcome)},
+                    {"detail", result.detail},
+                    {"ms", to_milliseconds(environment_.now() - received_at_)}});
+    }
+    const std::weak_ptr<bool> alive = alive_;
+    on_answer(result);
+    if (!alive.expired()) {
+        run_next();
+    }
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/database_group.cpp
@@ -0,0 +1,598 @@
+#include "gentianhill/proxy/database_group.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Demand for evidence or read points counts as present for this time after it was last shown.
+constexpr duration demand_lasts = 400ms;
+/// Status calls to one instance that have not been answered are repeated after this time.
+constexpr duration status_timeout = 250ms;
+/// Questions who leads are not asked more often than this.
+constexpr duration survey_pause = 150ms;
+/// Silence of the primary after which it is probed.
+constexpr duration probe_after = 200ms;
+/// Second reads as a share of all statements, so that they cannot multiply an overload.
+constexpr double second_read_ratio = 0.05;
+constexpr double second_read_capacity = 20.0;
+/// Part of an instance's connections that is not shared out, for proxies that start or are replaced.
+constexpr double connection_share = 0.9;
+/// Statements in flight beyond the slots keep the instance busy while answers travel.
+constexpr std::size_t in_flight_reserve = 2;
+
+} // namespace
+
+proxy_counters::proxy_counters(metrics& registry)
+    : statements(registry.add_counter("gentianhill_statements_total", "Statements answered.")),
+      refused(
+          registry.add_counter("gentianhill_statements_refused_total", "Statements answered as not run.")),
+      in_doubt(
+          registry.add_counter("gentianhill_statements_in_doubt_total", "Changes with unknown outcome.")),
+      repeated(registry.add_counter("gentianhill_attempts_repeated_total", "Attempts that were repeated.")),
+      second_reads(registry.add_counter("gentianhill_second_reads_total", "Reads started a second time.")),
+      status_calls(registry.add_counter("gentianhill_status_calls_total", "Status calls to instances.")),
+      connections_opened(
+          registry.add_counter("gentianhill_connections_opened_total", "Connections opened to instances.")),
+      promotions(registry.add_counter("gentianhill_promotions_total", "Promotions made by this daemon.")),
+      latency(registry.add_histogram("gentianhill_statement_ms", "Time from a statement to its answer.")) {}
+
+database_group::database_group(std::string name, instance_network& network, logger& log,
+                               proxy_counters& counters, const database_group_settings& settings,
+                               std::function<time_point()> clock)
+    : name_(std::move(name)),
+      network_(network),
+      log_(log),
+      counters_(counters),
+      settings_(settings),
+      clock_(std::move(clock)),
+      trust_(settings.trust_window),
+      watch_(settings.watch) {
+    watch_.reset(false, now());
+}
+
+database_group::~database_group() {
+    // Tasks end first: their connections belong to the instances.
+    waiting_.clear();
+}
+
+void database_group::update_instance(const listed_instance& listed) {
+    const std::map<std::string, std::unique_ptr<proxy_instance>>::iterator found = instances_.find(listed.id);
+    if (found == instances_.end()) {
+        std::unique_ptr<proxy_instance> added =
+            std::make_unique<proxy_instance>(listed, network_, log_, settings_.pool, clock_);
+        added->on_capacity = [this] { pump(); };
+        added->on_answered = [this](proxy_instance& instance, command_kind kind, time_point sent_at,
+                                    const instance_answer& answer) {
+            on_answered(instance, kind, sent_at, answer);
+        };
+        added->on_failure = [this](proxy_instance& instance, link_end end) { on_failure(instance, end); };
+        added->on_opening = [this] { counters_.connections_opened.add(); };
+        instances_.emplace(listed.id, std::move(added));
+        log_.write(log_level::info, "group", "instance_added",
+                   {{"group", name_}, {"instance", listed.id}, {"zone", listed.zone}});
+        set_rule(rule_, 0);
+    } else {
+        found->second->update(listed);
+    }
+    if (listed.id == primary_id_) {
+        watch_.set_leaving(listed.draining);
+    }
+    // Another instance claims to lead, or the one that led claims so no longer.
+    if (listed.claims_primary != (listed.id == primary_id_)) {
+        last_survey_ = time_point{};
+        survey();
+    }
+    pump();
+}
+
+void database_group::remove_instance(const std::string& id) {
+    const std::map<std::string, std::unique_ptr<proxy_instance>>::iterator found = instances_.find(id);
+    if (found == instances_.end()) {
+        return;
+    }
+    log_.write(log_level::info, "group", "instance_removed", {{"group", name_}, {"instance", id}});
+    // Its connections may be in use further up the call; the next tick destroys it.
+    removed_.push_back(std::move(found->second));
+    instances_.erase(found);
+    removed_.back()->close_all();
+    asked_.erase(id);
+    if (id == primary_id_) {
+        adopt("", term_);
+    }
+}
+
+void database_group::set_rule(const group_rule& rule, std::size_t proxies) {
+    rule_ = rule;
+    if (proxies > 0 && rule.max_connections > 0) {
+        const double share =
+            static_cast<double>(rule.max_connections) * connection_share / static_cast<double>(proxies);
+        // One connection of the share is the control connection.
+        settings_.pool.max_connections = std::max<std::size_t>(static_cast<std::size_t>(share), 3) - 1;
+    }
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        instance_pool_settings limits = settings_.pool;
+        limits.max_in_flight =
+            static_cast<std::size_t>(std::max<std::int64_t>(entry.second->listed().slots, 1)) +
+            in_flight_reserve;
+        entry.second->set_limits(limits);
+    }
+}
+
+proxy_instance* database_group::find(const std::string& id) {
+    const std::map<std::string, std::unique_ptr<proxy_instance>>::iterator found = instances_.find(id);
+    return found == instances_.end() ? nullptr : found->second.get();
+}
+
+proxy_instance* database_group::primary() {
+    return primary_id_.empty() ? nullptr : find(primary_id_);
+}
+
+placement database_group::place(const placement_query& query) {
+    const bool reads_replica =
+        (query.access == access_kind::read || query.access == access_kind::read_transaction) &&
+        query.rule != read_rule::latest;
+    return reads_replica ? place_read(query) : place_at_primary(query);
+}
+
+placement database_group::place_at_primary(const placement_query& query) {
+    proxy_instance* instance = primary();
+    if (instance == nullptr) {
+        return {nullptr, std::nullopt, placement_wait::no_primary};
+    }
+    const time_point current = now();
+    // A write at a superseded primary is never acknowledged, but a read there would be stale.
+    if (query.access != access_kind::write) {
+        evidence_wanted_ = current;
+        if (!trust_.covers(current)) {
+            want_evidence();
+            return {nullptr, std::nullopt, placement_wait::no_evidence};
+        }
+    }
+    if (!instance->is_usable()) {
+        static_cast<void>(instance->open_more(1));
+        return {nullptr, std::nullopt, placement_wait::no_instance};
+    }
+    return take(*instance, query, std::nullopt);
+}
+
+placement database_group::place_read(const placement_query& query) {
+    const time_point current = now();
+    read_point_wanted_ = current;
+    const duration allowed = std::max(query.max_staleness - settings_.staleness_margin, duration(0));
+    const time_point oldest = std::max(query.first_byte - allowed, query.fresh_after);
+    const std::optional<log_position> point = points_.at_least(oldest, trust_.until());
+    if (!point) {
+        want_read_point();
+        return {nullptr, std::nullopt, placement_wait::no_read_point};
+    }
+    const log_position since = query.session_position ? std::max(*point, *query.session_position) : *point;
+    proxy_instance* instance = choose(query, since);
+    if (instance == nullptr) {
+        return {nullptr, std::nullopt, placement_wait::no_instance};
+    }
+    return take(*instance, query, since);
+}
+
+proxy_instance* database_group::choose(const placement_query& query, const log_position& since) {
+    proxy_instance* best = nullptr;
+    proxy_instance* best_excluded = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    double best_excluded_cost = best_cost;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        proxy_instance& instance = *entry.second;
+        if (instance.listed().draining) {
+            continue;
+        }
+        if (!instance.is_usable()) {
+            static_cast<void>(instance.open_more(1));
+            continue;
+        }
+        const bool full = instance.in_flight() >= instance.limits().max_in_flight ||
+                          (!instance.has_idle() && !instance.open_more(1));
+        const double price = cost(instance, since) + (full ? 1000.0 : 0.0);
+        const bool is_excluded =
+            std::find(query.excluded->begin(), query.excluded->end(), entry.first) != query.excluded->end();
+        if (is_excluded) {
+            if (price < best_excluded_cost) {
+                best_excluded = &instance;
+                best_excluded_cost = price;
+            }
+        } else if (price < best_cost) {
+            best = &instance;
+            best_cost = price;
+        }
+    }
+    return best != nullptr ? best : best_excluded;
+}
+
+double database_group::cost(const proxy_instance& instance, const log_position& since) const {
+    double price = instance.expected_ms();
+    if (instance.listed().zone != settings_.zone) {
+        price += settings_.other_zone_ms;
+    }
+    if (!instance.has_idle()) {
+        price += settings_.opening_ms;
+    }
+    if (!instance.position() || *instance.position() < since) {
+        price += settings_.lagging_ms;
+    }
+    return price;
+}
+
+placement database_group::take(proxy_instance& instance, const placement_query& query,
+                               std::optional<log_position> since) {
+    pooled_connection* connection = instance.take(*query.session);
+    if (connection == nullptr) {
+        static_cast<void>(instance.open_more(waiting_.size() + 1));
+        return {nullptr, std::nullopt, placement_wait::no_connection};
+    }
+    return {connection, since, placement_wait::none};
+}
+
+void database_group::enqueue(const std::shared_ptr<statement_task>& task) {
+    const std::vector<std::shared_ptr<statement_task>>::iterator place = std::upper_bound(
+        waiting_.begin(), waiting_.end(), task,
+        [](const std::shared_ptr<statement_task>& a, const std::shared_ptr<statement_task>& b) {
+            if (a->asked().through->priority != b->asked().through->priority) {
+                return a->asked().through->priority < b->asked().through->priority;
+            }
+            return a->asked().received_at < b->asked().received_at;
+        });
+    waiting_.insert(place, task);
+}
+
+void database_group::pump() {
+    // A call from within a task's own step; that step goes on with the waiting tasks itself.
+    if (pumping_) {
+        return;
+    }
+    pumping_ = true;
+    std::vector<std::shared_ptr<statement_task>> tried;
+    tried.swap(waiting_);
+    std::vector<std::shared_ptr<statement_task>> still;
+    for (const std::shared_ptr<statement_task>& task : tried) {
+        if (!task->is_finished() && !task->try_place()) {
+            still.push_back(task);
+        }
+    }
+    // Tasks that were enqueued meanwhile come in by their own order.
+    const std::vector<std::shared_ptr<statement_task>> added = std::move(waiting_);
+    waiting_ = std::move(still);
+    for (const std::shared_ptr<statement_task>& task : added) {
+        enqueue(task);
+    }
+    pumping_ = false;
+}
+
+void database_group::track(const std::shared_ptr<statement_task>& task) {
+    active_.push_back(task);
+}
+
+void database_group::send_setup(pooled_connection& connection, const std::vector<setup_step>& steps,
+                                std::function<void(bool ready)> done) {
+    struct progress {
+        std::size_t open = 0;
+        bool failed = false;
+        std::function<void(bool ready)> done;
+    };
+    const std::shared_ptr<progress> state = std::make_shared<progress>();
+    state->open = steps.size();
+    state->done = std::move(done);
+    for (const setup_step& step : steps) {
+        instance_command command;
+        command.kind = step.kind == setup_kind::reset       ? command_kind::reset
+                       : step.kind == setup_kind::set_value ? command_kind::set_value
+                                                            : command_kind::prepare;
+        command.name = step.name;
+        command.argument = step.argument;
+        command.writes = step.writes;
+        connection.send(command, [state, step, target = &connection](instance_answer& answer) {
+            if (answer.result.outcome == statement_outcome::done) {
+                target->held.apply(step);
+            } else {
+                state->failed = true;
+            }
+            if (--state->open == 0) {
+                state->done(!state->failed);
+            }
+        });
+    }
+}
+
+void database_group::return_connection(pooled_connection& connection) {
+    connection.on_lost = nullptr;
+    if (!connection.is_open()) {
+        return;
+    }
+    if (connection.has_unanswered() || connection.state() == transaction_state::idle) {
+        connection.owner().give_back(connection);
+        return;
+    }
+    instance_command command;
+    command.kind = command_kind::rollback;
+    connection.send(command,
+                    [target = &connection](instance_answer&) { target->owner().give_back(*target); });
+}
+
+void database_group::on_commit_acknowledged(proxy_instance& instance, const statement_result& result,
+                                            time_point sent_at) {
+    if (instance.listed().id != primary_id_) {
+        return;
+    }
+    watch_.on_commit_acknowledged(sent_at);
+    // Acknowledged means that a replica received it, and a fenced replica receives nothing.
+    if (rule_.sync_replicas > 0 && result.position && result.position->term == term_) {
+        trust_.confirm(sent_at);
+    }
+}
+
+void database_group::on_not_primary(const std::string& id) {
+    if (id == primary_id_) {
+        log_.write(log_level::info, "group", "primary_refuses_writes", {{"group", name_}, {"instance", id}});
+        adopt("", term_);
+    }
+    survey();
+}
+
+void database_group::on_answered(proxy_instance& instance, command_kind kind, time_point sent_at,
+                                 const instance_answer& answer) {
+    const time_point current = now();
+    const std::string& id = instance.listed().id;
+    if (kind == command_kind::read || kind == command_kind::write || kind == command_kind::execute) {
+        second_read_budget_ = std::min(second_read_budget_ + second_read_ratio, second_read_capacity);
+    }
+    if (id == primary_id_) {
+        watch_.on_answer(current);
+    }
+    if (answer.status) {
+        on_status(instance, *answer.status, sent_at);
+        return;
+    }
+    const std::optional<log_position>& position = answer.result.position;
+    if (!position) {
+        return;
+    }
+    if (position->term > term_) {
+        survey();
+    } else if (id == primary_id_ && position->term == term_) {
+        points_.add(*position, sent_at);
+    }
+}
+
+void database_group::on_failure(proxy_instance& instance, link_end end) {
+    if (instance.listed().id == primary_id_ && end != link_end::rejected) {
+        watch_.on_failure(end == link_end::refused, now());
+    }
+    asked_.erase(instance.listed().id);
+}
+
+void database_group::ask_status(proxy_instance& instance) {
+    const std::string& id = instance.listed().id;
+    const time_point current = now();
+    const std::map<std::string, time_point>::iterator open = asked_.find(id);
+    if (open != asked_.end() && current - open->second < status_timeout) {
+        return;
+    }
+    pooled_connection* connection = instance.control();
+    if (connection == nullptr) {
+        return;
+    }
+    asked_.insert_or_assign(id, current);
+    counters_.status_calls.add();
+    instance_command command;
+    command.kind = command_kind::status;
+    connection->send(command, [this, id](instance_answer& answer) {
+        asked_.erase(id);
+        if (answer.result.outcome != statement_outcome::done) {
+            log_.write(log_level::debug, "group", "status_refused",
+                       {{"instance", id}, {"outcome", to_string(answer.result.outcome)}});
+        }
+    });
+}
+
+void database_group::on_status(proxy_instance& instance, const instance_status& status, time_point sent_at) {
+    const std::string& id = instance.listed().id;
+    if (status.is_primary) {
+        if (status.term > term_ || (status.term == term_ && primary_id_.empty())) {
+            adopt(id, status.term);
+        }
+        if (id == primary_id_ && status.term == term_) {
+            points_.add(status.received, sent_at);
+            pump();
+        }
+        return;
+    }
+    if (id == primary_id_ && status.term >= term_) {
+        adopt("", term_);
+        survey();
+        return;
+    }
+    if (status.term == term_ && status.is_receiving() && !primary_id_.empty()) {
+        trust_.confirm(sent_at);
+        pump();
+    } else if (status.term > term_) {
+        survey();
+    }
+}
+
+void database_group::adopt(const std::string& id, term_number term) {
+    if (id == primary_id_ && term == term_) {
+        return;
+    }
+    log_.write(log_level::info, "group", "primary_changed",
+               {{"group", name_}, {"from", primary_id_}, {"to", id}, {"old_term", term_}, {"term", term}});
+    if (term != term_ || !id.empty()) {
+        trust_.reset();
+        points_.clear();
+    }
+    primary_id_ = id;
+    term_ = term;
+    watch_.reset(!id.empty(), now());
+    proxy_instance* leader = primary();
+    if (leader != nullptr) {
+        watch_.set_leaving(leader->listed().draining);
+        want_evidence();
+    }
+}
+
+void database_group::survey() {
+    const time_point current = now();
+    if (current - last_survey_ < survey_pause) {
+        return;
+    }
+    last_survey_ = current;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        ask_status(*entry.second);
+    }
+}
+
+void database_group::want_evidence() {
+    evidence_wanted_ = now();
+    // An instance of the own zone answers soonest and cheapest; the others follow when it has not answered.
+    proxy_instance* nearest = nullptr;
+    bool asked_any = false;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        if (entry.first == primary_id_ || !entry.second->is_usable()) {
+            continue;
+        }
+        asked_any = asked_any || asked_.find(entry.first) != asked_.end();
+        if (nearest == nullptr || entry.second->listed().zone == settings_.zone) {
+            nearest = entry.second.get();
+        }
+    }
+    if (nearest != nullptr && !asked_any) {
+        ask_status(*nearest);
+    }
+}
+
+void database_group::want_read_point() {
+    read_point_wanted_ = now();
+    proxy_instance* leader = primary();
+    if (leader == nullptr) {
+        survey();
+        return;
+    }
+    ask_status(*leader);
+    if (!trust_.covers(now())) {
+        want_evidence();
+    }
+}
+
+void database_group::renew() {
+    const time_point current = now();
+    const time_point soon = current + settings_.renew_ahead;
+    if (current - evidence_wanted_ < demand_lasts && !trust_.covers(soon)) {
+        const time_point wanted = evidence_wanted_;
+        want_evidence();
+        // Renewal is not demand of its own.
+        evidence_wanted_ = wanted;
+        const bool overdue = !trust_.covers(current);
+        if (overdue) {
+            for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry :
+                 instances_) {
+                if (entry.first != primary_id_) {
+                    ask_status(*entry.second);
+                }
+            }
+        }
+    }
+}
+
+void database_group::probe_primary(time_point current) {
+    proxy_instance* leader = primary();
+    if (leader == nullptr) {
+        survey();
+        return;
+    }
+    if (watch_.silence(current) < probe_after) {
+        return;
+    }
+    const std::map<std::string, time_point>::iterator open = asked_.find(primary_id_);
+    if (open != asked_.end() && current - open->second >= status_timeout) {
+        watch_.on_failure(false, current);
+        // The connection may have gone silent alone; the next probe uses a new one.
+        pooled_connection* connection = leader->control();
+        asked_.erase(open);
+        if (connection != nullptr) {
+            leader->drop(*connection, link_end::timed_out);
+        }
+    }
+    ask_status(*leader);
+}
+
+void database_group::tick() {
+    removed_.clear();
+    const time_point current = now();
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        entry.second->tick();
+    }
+    probe_primary(current);
+    proxy_instance* leader = primary();
+    if (leader != nullptr) {
+        const std::optional<time_point> commit = leader->commit_waiting_since();
+        if (commit) {
+            watch_.on_commit_waiting(*commit, current);
+        }
+    }
+    renew();
+    tick_tasks(current);
+    pump();
+}
+
+void database_group::tick_tasks(time_point current) {
+    active_.erase(std::remove_if(active_.begin(), active_.end(),
+                                 [](const std::weak_ptr<statement_task>& entry) {
+                                     const std::shared_ptr<statement_task> task = entry.lock();
+                                     return task == nullptr || task->is_finished();
+                                 }),
+                  active_.end());
+    // Copied, since a task that ends may start another one.
+    const std::vector<std::weak_ptr<statement_task>> tasks = active_;
+    for (const std::weak_ptr<statement_task>& entry : tasks) {
+        const std::shared_ptr<statement_task> task = entry.lock();
+        if (task != nullptr) {
+            task->tick(current);
+        }
+    }
+}
+
+bool database_group::is_reachable() const {
+    return std::any_of(instances_.begin(), instances_.end(),
+                       [](const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry) {
+                           return entry.second->connection_count() > 0 && entry.second->is_usable();
+                       });
+}
+
+duration database_group::patience() const {
+    return duration(0);
+}
+
+bool database_group::may_start_second_read() {
+    if (second_read_budget_ < 1.0) {
+        return false;
+    }
+    second_read_budget_ -= 1.0;
+    counters_.second_reads.add();
+    return true;
+}
+
+void database_group::log_failed_attempt(const std::string& id, const std::string& instance,
+                                        statement_outcome outcome, std::uint32_t attempt) {
+    counters_.repeated.add();
+    log_.write(log_level::info, "statement", "attempt_failed",
+               {{"id", id},
+                {"group", name_},
+                {"instance", instance},
+                {"outcome", to_string(outcome)},
+                {"attempt", attempt},
+                {"primary", primary_id_},
+                {"term", term_}});
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/database_group.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "gentianhill/core/logger.h"
+#include "gentianhill/core/metrics.h"
+#include "gentianhill/failover/primary_watch.h"
+#include "gentianhill/freshness/primary_trust.h"
+#include "gentianhill/freshness/read_points.h"
+#include "gentianhill/proxy/placement.h"
+#include "gentianhill/proxy/proxy_instance.h"
+#include "gentianhill/proxy/statement_task.h"
+#include "gentianhill/routing/instance_catalog.h"
+#include "gentianhill/routing/route_table.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace gentianhill {
+
+/// Limits and weights of one database group.
+struct database_group_settings {
+    /// Availability zone of this proxy; its instances are preferred, since bytes between zones are dear.
+    std::string zone;
+    /// Time for which a primary is trusted after evidence; a promotion waits for longer.
+    duration trust_window = std::chrono::milliseconds(400);
+    /// Evidence and read points are renewed when they would end within this time, while they are in use.
+    duration renew_ahead = std::chrono::milliseconds(100);
+    /// Subtracted from the staleness that a route allows, for the way of the answer.
+    duration staleness_margin = std::chrono::milliseconds(100);
+    /// Added to the expected time at an instance of another zone, in ms.
+    double other_zone_ms = 12.0;
+    /// Added where no connection is free, for the opening of one, in ms.
+    double opening_ms = 13.0;
+    /// Added where the instance may not hold the position yet, in ms.
+    double lagging_ms = 15.0;
+    primary_watch_settings watch;
+    instance_pool_settings pool;
+};
+
+/// Counters of all groups.
+struct proxy_counters {
+    explicit proxy_counters(metrics& registry);
+
+    counter& statements;
+    counter& refused;
+    counter& in_doubt;
+    counter& repeated;
+    counter& second_reads;
+    counter& status_calls;
+    counter& connections_opened;
+    counter& promotions;
+    latency_histogram& latency;
+};
+
+/// One database group: its instances, who leads it, how fresh reads are, and the statements that wait for a
+/// connection.
+class database_group {
+public:
+    /// `network`, `log` and `counters` must outlive the group.
+    database_group(std::string name, instance_network& network, logger& log, proxy_counters& counters,
+                   const database_group_settings& settings, std::function<time_point()> clock);
+    ~database_group();
+    database_group(const database_group&) = delete;
+    database_group& operator=(const database_group&) = delete;
+
+    /// Adds an instance, or takes over a changed entry.
+    void update_instance(const listed_instance& listed);
+    /// The instance is gone.
+    void remove_instance(const std::string& id);
+    /// Takes over the group's limits; `proxies` share the connections of each instance.
+    void set_rule(const group_rule& rule, std::size_t proxies);
+
+    /// Finds a connection for a statement, and takes it into use.
+    [[nodiscard]] placement place(const placement_query& query);
+    /// Lets a task wait; it is tried again when something changes.
+    void enqueue(const std::shared_ptr<statement_task>& task);
+    /// Watches over a task until it is finished.
+    void track(const std::shared_ptr<statement_task>& task);
+    /// Sends setup steps; `done` is told whether all were acknowledged.
+    void send_setup(pooled_connection& connection, const std::vector<setup_step>& steps,
+                    std::function<void(bool ready)> done);
+    /// Gives a connection back, after a rollback when a transaction is open on it.
+    void return_connection(pooled_connection& connection);
+    /// A write or a commit that changed data, sent at `sent_at`, was acknowledged.
+    void on_commit_acknowledged(proxy_instance& instance, const statement_result& result, time_point sent_at);
+    /// An instance has refused a write.
+    void on_not_primary(const std::string& id);
+    /// Asks all instances who leads.
+    void survey();
+    /// Regular work; call it about every 25 ms.
+    void tick();
+
+    [[nodiscard]] const std::string& name() const { return name_; }
+    [[nodiscard]] time_point now() const { return clock_(); }
+    /// Current primary; empty when none is known.
+    [[nodiscard]] const std::string& primary_id() const { return primary_id_; }
+    [[nodiscard]] term_number term() const { return term_; }
+    [[nodiscard]] const primary_watch& watch() const { return watch_; }
+    [[nodiscard]] proxy_instance* find(const std::string& id);
+    [[nodiscard]] const std::map<std::string, std::unique_ptr<proxy_instance>>& instances() const {
+        return instances_;
+    }
+    /// True when at least one instance can take work.
+    [[nodiscard]] bool is_reachable() const;
+    /// Least time that a statement waits although nothing can serve it at the moment.
+    [[nodiscard]] duration patience() const;
+    /// Takes one from the budget of second reads.
+    [[nodiscard]] bool may_start_second_read();
+    /// Statements that wait for a connection.
+    [[nodiscard]] std::size_t waiting_count() const { return waiting_.size(); }
+    /// Logs an attempt that did not succeed.
+    void log_failed_attempt(const std::string& id, const std::string& instance, statement_outcome outcome,
+                            std::uint32_t attempt);
+    [[nodiscard]] proxy_counters& counters() { return counters_; }
+    [[nodiscard]] logger& log() { return log_; }
+
+private:
+    [[nodiscard]] placement place_at_primary(const placement_query& query);
+    [[nodiscard]] placement place_read(const placement_query& query);
+    [[nodiscard]] proxy_instance* choose(const placement_query& query, const log_position& since);
+    [[nodiscard]] double cost(const proxy_instance& instance, const log_position& since) const;
+    [[nodiscard]] placement take(proxy_instance& instance, const placement_query& query,
+                                 std::optional<log_position> since);
+    void pump();
+    void on_answered(proxy_instance& instance, command_kind kind, time_point sent_at,
+                     const instance_answer& answer);
+    void on_failure(proxy_instance& instance, link_end end);
+    void ask_status(proxy_instance& instance);
+    void on_status(proxy_instance& instance, const instance_status& status, time_point sent_at);
+    void adopt(const std::string& id, term_number term);
+    void want_evidence();
+    void want_read_point();
+    void renew();
+    void probe_primary(time_point current);
+    void tick_tasks(time_point current);
+    [[nodiscard]] proxy_instance* primary();
+
+    std::string name_;
+    instance_network& network_;
+    logger& log_;
+    proxy_counters& counters_;
+    database_group_settings settings_;
+    std::function<time_point()> clock_;
+    group_rule rule_;
+
+    std::map<std::string, std::unique_ptr<proxy_instance>> instances_;
+    std::vector<std::unique_ptr<proxy_instance>> removed_;
+    std::string primary_id_;
+    term_number term_ = 0;
+    primary_trust trust_;
+    read_points points_;
+    primary_watch watch_;
+
+    std::vector<std::shared_ptr<statement_task>> waiting_;
+    std::vector<std::weak_ptr<statement_task>> active_;
+    bool pumping_ = false;
+
+    /// Status calls under way, by instance.
+    std::map<std::string, time_point> asked_;
+    time_point evidence_wanted_;
+    time_point read_point_wanted_;
+    time_point last_survey_;
+    double second_read_budget_ = 0;
+};
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/failover_driver.cpp
@@ -0,0 +1,177 @@
+#include "gentianhill/proxy/failover_driver.h"
+
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Pause before a connection that is being opened is looked at again.
+constexpr duration open_poll = 15ms;
+
+} // namespace
+
+failover_driver::failover_driver(database_group& group, duty_lease& lease, failover_port& port, logger& log,
+                                 const failover_settings& settings, std::uint32_t position)
+    : group_(group), lease_(lease), port_(port), log_(log), settings_(settings), position_(position) {}
+
+void failover_driver::tick(bool may_start) {
+    const time_point current = group_.now();
+    const primary_verdict verdict = group_.watch().verdict(current);
+    if (verdict == primary_verdict::healthy) {
+        verdict_since_.reset();
+        last_verdict_ = verdict;
+        return;
+    }
+    if (!verdict_since_) {
+        verdict_since_ = current;
+        not_before_ = std::max(not_before_, current + settings_.stagger * position_);
+    }
+    if (verdict != last_verdict_) {
+        last_verdict_ = verdict;
+        log_.write(log_level::info, "failover", "primary_judged",
+                   {{"group", group_.name()},
+                    {"primary", group_.primary_id()},
+                    {"verdict", to_string(verdict)},
+                    {"silence_ms", to_milliseconds(group_.watch().silence(current))}});
+    }
+    if (running_ == nullptr && may_start && current >= not_before_) {
+        start(verdict);
+    }
+}
+
+void failover_driver::start(primary_verdict verdict) {
+    std::vector<promotion_member> members;
+    bool has_target = false;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry :
+         group_.instances()) {
+        const listed_instance& listed = entry.second->listed();
+        members.push_back({listed.id, listed.draining});
+        has_target = has_target || (!listed.draining && listed.id != group_.primary_id());
+    }
+    // A leaving primary is replaced by an instance that stays.
+    if (verdict == primary_verdict::leaving && !has_target) {
+        return;
+    }
+    const bool tolerate = group_.now() - *verdict_since_ >= settings_.replicating_limit;
+    running_ =
+        std::make_shared<fenced_promotion>(group_.name(), lease_, log_, settings_.promotion, make_hooks());
+    const std::shared_ptr<fenced_promotion> started = running_;
+    started->start(std::move(members), group_.primary_id(), group_.term(), verdict, tolerate,
+                   [this, alive = std::weak_ptr<bool>(alive_)](promotion_end end, const std::string& id) {
+                       if (!alive.expired()) {
+                           on_end(end, id);
+                       }
+                   });
+}
+
+promotion_hooks failover_driver::make_hooks() {
+    promotion_hooks hooks;
+    hooks.ask_status = [this](const std::string& id, promotion_hooks::answer_handler done) {
+        ask(id, command_kind::status, 0, done);
+    };
+    hooks.fence = [this](const std::string& id, term_number term, promotion_hooks::answer_handler done) {
+        ask(id, command_kind::fence, term, done);
+    };
+    hooks.unfence = [this](const std::string& id) { tell(id, command_kind::unfence, 0); };
+    hooks.step_down = [this](const std::string& id, term_number term) {
+        tell(id, command_kind::step_down, term);
+    };
+    hooks.list_members = [this](
+                             std::function<void(const std::optional<std::vector<promotion_member>>&)> done) {
+        port_.list_instances(group_.name(), [done = std::move(done)](
+                                                const std::optional<std::vector<listed_instance>>& listed) {
+            if (!listed) {
+                done(std::nullopt);
+                return;
+            }
+            std::vector<promotion_member> members;
+            for (const listed_instance& instance : *listed) {
+                members.push_back({instance.id, instance.draining});
+            }
+            done(members);
+        });
+    };
+    hooks.promote = [this](const std::string& id, std::uint64_t token,
+                           std::function<void(promote_outcome)> done) {
+        port_.promote(group_.name(), id, token, std::move(done));
+    };
+    hooks.call_after = [this](duration delay, std::function<void()> action) {
+        port_.call_after(delay, std::move(action));
+    };
+    hooks.now = [this] { return group_.now(); };
+    return hooks;
+}
+
+void failover_driver::ask(const std::string& id, command_kind kind, term_number term,
+                          const promotion_hooks::answer_handler& done) {
+    // Answers once: with the instance's answer, or with nothing after the limit.
+    struct question {
+        promotion_hooks::answer_handler done;
+        time_point until;
+    };
+    const std::shared_ptr<question> open = std::make_shared<question>();
+    open->done = done;
+    open->until = group_.now() + settings_.answer_limit;
+    const promotion_hooks::answer_handler once = [open](const std::optional<member_answer>& answer) {
+        const promotion_hooks::answer_handler handler = std::move(open->done);
+        open->done = nullptr;
+        if (handler) {
+            handler(answer);
+        }
+    };
+    port_.call_after(settings_.answer_limit, [once] { once(std::nullopt); });
+    // The connection may have to be opened first.
+    const std::shared_ptr<std::function<void()>> attempt = std::make_shared<std::function<void()>>();
+    *attempt = [this, id, kind, term, once, open, weak = std::weak_ptr<std::function<void()>>(attempt),
+                alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired() || !open->done || group_.now() >= open->until) {
+            return;
+        }
+        proxy_instance* instance = group_.find(id);
+        pooled_connection* connection = instance != nullptr ? instance->control() : nullptr;
+        if (connection != nullptr) {
+            ask_on(*connection, kind, term, once);
+            return;
+        }
+        if (const std::shared_ptr<std::function<void()>> again = weak.lock()) {
+            port_.call_after(open_poll, [again] { (*again)(); });
+        }
+    };
+    (*attempt)();
+}
+
+void failover_driver::ask_on(pooled_connection& connection, command_kind kind, term_number term,
+                             const promotion_hooks::answer_handler& done) {
+    instance_command command;
+    command.kind = kind;
+    command.term = term;
+    const std::uint64_t number = connection.number();
+    connection.send(command, [done, number](instance_answer& answer) {
+        if (answer.result.outcome != statement_outcome::done || !answer.status) {
+            done(std::nullopt);
+            return;
+        }
+        done(member_answer{number, *answer.status});
+    });
+}
+
+void failover_driver::tell(const std::string& id, command_kind kind, term_number term) {
+    ask(id, kind, term, [this, id, kind](const std::optional<member_answer>& answer) {
+        log_.write(log_level::info, "failover", kind == command_kind::unfence ? "unfenced" : "stepped_down",
+                   {{"group", group_.name()}, {"instance", id}, {"answered", answer.has_value()}});
+    });
+}
+
+void failover_driver::on_end(promotion_end end, const std::string& /*id*/) {
+    running_.reset();
+    not_before_ = group_.now() + settings_.retry_pause + settings_.stagger * position_;
+    if (end == promotion_end::promoted) {
+        group_.counters().promotions.add();
+    }
+    group_.survey();
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/pooled_connection.cpp
@@ -0,0 +1,41 @@
+#include "gentianhill/proxy/pooled_connection.h"
+
+#include "gentianhill/proxy/proxy_instance.h"
+
+#include <cassert>
+#include <utility>
+
+namespace gentianhill {
+
+void pooled_connection::send(const instance_command& command, answer_handler done) {
+    assert(open_);
+    pending_.push_back({command.kind, owner_.now(), command.changes_data, std::move(done)});
+    link_->send(command);
+}
+
+std::optional<time_point> pooled_connection::waiting_since() const {
+    if (pending_.empty()) {
+        return std::nullopt;
+    }
+    return pending_.front().sent_at;
+}
+
+void pooled_connection::receive(instance_answer& answer) {
+    if (!open_) {
+        return;
+    }
+    if (pending_.empty()) {
+        // An answer to nothing: the exchange is out of step, so nothing on this connection can be believed.
+        owner_.drop(*this, link_end::lost);
+        return;
+    }
+    const pending_command answered = std::move(pending_.front());
+    pending_.pop_front();
+    state_ = answer.result.state;
+    owner_.on_answer(answered.kind, answered.sent_at, answer);
+    if (answered.done) {
+        answered.done(answer);
+    }
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/pooled_connection.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "gentianhill/core/time.h"
+#include "gentianhill/proxy/instance_link.h"
+#include "gentianhill/session/connection_state.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace gentianhill {
+
+class proxy_instance;
+
+/// Connection to an instance that sessions share one after the other. It is idle, or in the use of exactly
+/// one statement or transaction, and returns to the pool only when every answer has arrived.
+class pooled_connection {
+public:
+    using answer_handler = std::function<void(instance_answer& answer)>;
+
+    pooled_connection(proxy_instance& owner, std::uint64_t number) : owner_(owner), number_(number) {}
+
+    /// Sends a command; `done` gets the answer, and nothing when the connection ends before.
+    void send(const instance_command& command, answer_handler done);
+    /// Instance that it leads to.
+    [[nodiscard]] proxy_instance& owner() const { return owner_; }
+    /// Number that no other connection of the process has had.
+    [[nodiscard]] std::uint64_t number() const { return number_; }
+    /// True when the instance has accepted the connection.
+    [[nodiscard]] bool is_open() const { return open_; }
+    /// True while a statement or transaction uses it.
+    [[nodiscard]] bool is_used() const { return used_; }
+    /// True when answers are still to come.
+    [[nodiscard]] bool has_unanswered() const { return !pending_.empty(); }
+    /// State of the transaction after the last answer.
+    [[nodiscard]] transaction_state state() const { return state_; }
+    /// Time at which the oldest command without an answer was sent.
+    [[nodiscard]] std::optional<time_point> waiting_since() const;
+
+    /// Session values and prepared statements that it holds.
+    connection_state held;
+    /// The user of the connection is told that it has ended; the connection is destroyed afterwards.
+    std::function<void()> on_lost;
+
+private:
+    friend class proxy_instance;
+    struct pending_command {
+        command_kind kind = command_kind::status;
+        time_point sent_at;
+        bool changes_data = false;
+        answer_handler done;
+    };
+
+    void receive(instance_answer& answer);
+
+    proxy_instance& owner_;
+    std::uint64_t number_;
+    std::unique_ptr<instance_link> link_;
+    std::deque<pending_command> pending_;
+    transaction_state state_ = transaction_state::idle;
+    time_point opened_at_;
+    time_point last_used_;
+    bool open_ = false;
+    bool used_ = false;
+};
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/proxy.cpp
@@ -0,0 +1,268 @@
+#include "gentianhill/proxy/proxy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time between two runs of the regular work.
+constexpr duration tick_interval = 25ms;
+/// Time that the balancer needs to notice that the daemon is not ready any more: two probes a second apart,
+/// each with its way.
+constexpr duration rotation_delay = 2300ms;
+/// Share of the grace time in which open transactions may end.
+constexpr double transaction_share = 0.55;
+/// Share of the grace time after which the process ends in any case.
+constexpr double end_share = 0.85;
+constexpr std::uint32_t stagger_positions = 5;
+
+duration share_of(duration length, double share) {
+    return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * share));
+}
+
+} // namespace
+
+proxy::proxy(const proxy_settings& settings, proxy_ports ports, logger& log, metrics& registry)
+    : settings_(settings),
+      ports_(std::move(ports)),
+      log_(log),
+      counters_(registry),
+      instance_watch_(collection::instances, ports_.store, log, settings.watch),
+      configuration_watch_(collection::configuration, ports_.store, log, settings.watch),
+      lease_(ports_.store, log, settings.lease, settings.name, settings.incarnation) {
+    lease_.now = ports_.now;
+    settings_.group.zone = settings.zone;
+    for (collection_watch* watch : {&instance_watch_, &configuration_watch_}) {
+        watch->call_after = ports_.call_after;
+        watch->random = ports_.random;
+    }
+    instance_watch_.on_list = [this](const std::vector<stored_object>& objects) { on_instances(objects); };
+    instance_watch_.on_event = [this](const store_event& event) { on_instance_event(event); };
+    configuration_watch_.on_list = [this](const std::vector<stored_object>& objects) {
+        for (const stored_object& object : objects) {
+            on_configuration_object(object);
+        }
+    };
+    configuration_watch_.on_event = [this](const store_event& event) {
+        if (!event.deleted) {
+            on_configuration_object(event.object);
+        }
+    };
+    catalog_.on_change = [this](const listed_instance& listed) { on_instance_changed(listed); };
+    catalog_.on_remove = [this](const listed_instance& listed) {
+        group(listed.group).remove_instance(listed.id);
+    };
+    failover_port_.call_after = ports_.call_after;
+    failover_port_.promote = [this](const std::string& group_name, const std::string& id, std::uint64_t token,
+                                    std::function<void(promote_outcome)> done) {
+        ports_.promote(group_name, id, settings_.name, token, std::move(done));
+    };
+    failover_port_.list_instances =
+        [this](const std::string& group_name,
+               const std::function<void(const std::optional<std::vector<listed_instance>>&)>& done) {
+            list_instances(group_name, "", std::make_shared<std::vector<listed_instance>>(), done);
+        };
+    environment_.find_route = [this](const std::string& database) { return routes_.find(database); };
+    environment_.find_group = [this](const std::string& name) -> database_group* {
+        const auto found = groups_.find(name);
+        return found == groups_.end() ? nullptr : found->second.get();
+    };
+    environment_.transaction_idle_limit = [this] {
+        return routes_.current() ? routes_.current()->transaction_idle_limit : duration(0);
+    };
+    environment_.now = ports_.now;
+}
+
+proxy::~proxy() = default;
+
+void proxy::start() {
+    instance_watch_.start();
+    configuration_watch_.start();
+    tick();
+}
+
+void proxy::tick() {
+    const time_point now = ports_.now();
+    if (instance_watch_.is_reachable()) {
+        catalog_.expire(now);
+    }
+    const bool lease_used = std::any_of(
+        drivers_.begin(), drivers_.end(),
+        [](const std::map<std::string, std::unique_ptr<failover_driver>, std::less<>>::value_type& entry) {
+            return entry.second->is_running();
+        });
+    for (const std::map<std::string, std::unique_ptr<database_group>, std::less<>>::value_type& entry :
+         groups_) {
+        entry.second->tick();
+    }
+    bool may_start = !lease_used && phase_ == stop_phase::running;
+    for (const std::map<std::string, std::unique_ptr<failover_driver>, std::less<>>::value_type& entry :
+         drivers_) {
+        entry.second->tick(may_start);
+        may_start = may_start && !entry.second->is_running();
+    }
+    if (phase_ != stop_phase::running) {
+        advance_stop();
+    }
+    ports_.call_after(tick_interval, [this, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) {
+            tick();
+        }
+    });
+}
+
+database_group& proxy::group(const std::string& name) {
+    const auto found = groups_.find(name);
+    if (found != groups_.end()) {
+        return *found->second;
+    }
+    std::unique_ptr<database_group>& added = groups_[name];
+    added =
+        std::make_unique<database_group>(name, ports_.network, log_, counters_, settings_.group, ports_.now);
+    const std::uint32_t position =
+        static_cast<std::uint32_t>(std::hash<std::string>{}(settings_.name + "/" + name) % stagger_positions);
+    drivers_[name] =
+        std::make_unique<failover_driver>(*added, lease_, failover_port_, log_, settings_.failover, position);
+    apply_rules();
+    return *added;
+}
+
+void proxy::on_instances(const std::vector<stored_object>& objects) {
+    std::vector<listed_instance> listed;
+    for (const stored_object& object : objects) {
+        if (std::optional<listed_instance> instance = ports_.read_instance(object)) {
+            listed.push_back(std::move(*instance));
+        }
+    }
+    catalog_.replace(listed, ports_.now());
+}
+
+void proxy::on_instance_event(const store_event& event) {
+    if (event.deleted) {
+        catalog_.remove(event.object.name, ports_.now());
+        return;
+    }
+    if (const std::optional<listed_instance> instance = ports_.read_instance(event.object)) {
+        catalog_.upsert(*instance);
+    }
+}
+
+void proxy::on_instance_changed(const listed_instance& listed) {
+    log_.write(log_level::info, "proxy", "instance_listed",
+               {{"instance", listed.id},
+                {"group", listed.group},
+                {"zone", listed.zone},
+                {"primary", listed.claims_primary},
+                {"draining", listed.draining}});
+    group(listed.group).update_instance(listed);
+}
+
+void proxy::on_configuration_object(const stored_object& object) {
+    std::optional<proxy_configuration> configuration = ports_.read_configuration(object);
+    if (!configuration) {
+        return;
+    }
+    const std::uint64_t version = configuration->version;
+    const std::size_t routes = configuration->routes.size();
+    const bool applied = routes_.apply(std::move(*configuration));
+    log_.write(log_level::info, "proxy", applied ? "configuration_applied" : "configuration_ignored",
+               {{"version", version}, {"in_effect", routes_.current()->version}, {"routes", routes}});
+    if (applied) {
+        apply_rules();
+        if (on_configuration) {
+            on_configuration();
+        }
+    }
+}
+
+void proxy::apply_rules() {
+    if (!routes_.current()) {
+        return;
+    }
+    for (const auto& [name, rule] : routes_.current()->groups) {
+        const auto found = groups_.find(name);
+        if (found != groups_.end()) {
+            found->second->set_rule(rule, settings_.assumed_daemons);
+        }
+    }
+}
+
+void proxy::list_instances(
+    const std::string& group_name, const std::string& after,
+    const std::shared_ptr<std::vector<listed_instance>>& found,
+    const std::function<void(const std::optional<std::vector<listed_instance>>&)>& done) {
+    ports_.store.list(collection::instances, after,
+                      [this, group_name, found, done](const store_answer& answer) {
+                          if (answer.outcome != store_outcome::done) {
+                              done(std::nullopt);
+                              return;
+                          }
+                          for (const stored_object& object : answer.items) {
+                              const std::optional<listed_instance> instance = ports_.read_instance(object);
+                              if (!instance) {
+                                  continue;
+                              }
+                              // The watch may be behind this list.
+                              catalog_.upsert(*instance);
+                              if (instance->group == group_name) {
+                                  found->push_back(*instance);
+                              }
+                          }
+                          if (answer.has_more && !answer.items.empty()) {
+                              list_instances(group_name, answer.items.back().name, found, done);
+                              return;
+                          }
+                          done(*found);
+                      });
+}
+
+std::unique_ptr<client_session> proxy::open_session(const std::string& database) {
+    if (routes_.find(database) == nullptr) {
+        return nullptr;
+    }
+    return std::make_unique<client_session>(database, environment_, log_, counters_);
+}
+
+bool proxy::is_ready() const {
+    if (phase_ != stop_phase::running || !routes_.current()) {
+        return false;
+    }
+    return std::any_of(
+        groups_.begin(), groups_.end(),
+        [](const std::map<std::string, std::unique_ptr<database_group>, std::less<>>::value_type& entry) {
+            return entry.second->is_reachable();
+        });
+}
+
+void proxy::stop() {
+    if (phase_ != stop_phase::running) {
+        return;
+    }
+    phase_ = stop_phase::leaving;
+    stop_started_ = ports_.now();
+    log_.write(log_level::info, "proxy", "stop_requested", {{"grace_ms", to_milliseconds(settings_.grace)}});
+}
+
+void proxy::advance_stop() {
+    const duration elapsed = ports_.now() - stop_started_;
+    if (phase_ == stop_phase::leaving &&
+        elapsed >= std::min(rotation_delay, share_of(settings_.grace, transaction_share))) {
+        phase_ = stop_phase::closing;
+    }
+    if (phase_ == stop_phase::closing && on_close_idle) {
+        on_close_idle();
+    }
+    if (phase_ == stop_phase::closing && elapsed >= share_of(settings_.grace, end_share)) {
+        phase_ = stop_phase::stopped;
+        log_.write(log_level::info, "proxy", "stopped", {{"ms", to_milliseconds(elapsed)}});
+        if (on_stopped) {
+            on_stopped();
+        }
+    }
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -0,0 +1,310 @@
+#include "gentianhill/proxy/proxy_instance.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Expected time of an instance that has not answered anything yet.
+constexpr double initial_latency_ms = 10.0;
+/// Weight of the newest answer in the average.
+constexpr double latency_weight = 0.1;
+/// An estimate halves in this time without answers, so that an instance that was slow is tried again.
+constexpr double latency_half_life_ms = 2000.0;
+constexpr double microseconds_per_ms = 1000.0;
+
+std::uint64_t next_connection_number() {
+    static std::uint64_t last = 0;
+    return ++last;
+}
+
+bool is_statement(command_kind kind) {
+    return kind == command_kind::read || kind == command_kind::write || kind == command_kind::execute ||
+           kind == command_kind::commit;
+}
+
+} // namespace
+
+proxy_instance::proxy_instance(const listed_instance& listed, instance_network& network, logger& log,
+                               const instance_pool_settings& settings, std::function<time_point()> clock)
+    : listed_(listed),
+      network_(network),
+      log_(log),
+      settings_(settings),
+      clock_(std::move(clock)),
+      latency_ms_(initial_latency_ms),
+      last_answer_(clock_()),
+      open_pause_(settings.min_open_pause) {}
+
+proxy_instance::~proxy_instance() = default;
+
+void proxy_instance::update(const listed_instance& listed) {
+    const bool restarted = listed.address != listed_.address || listed.started_at_ms != listed_.started_at_ms;
+    listed_ = listed;
+    if (restarted) {
+        close_all();
+        position_.reset();
+    }
+}
+
+void proxy_instance::close_all() {
+    while (!connections_.empty()) {
+        drop(*connections_.back(), link_end::lost);
+    }
+    if (control_) {
+        drop(*control_, link_end::lost);
+    }
+}
+
+std::size_t proxy_instance::in_flight() const {
+    return static_cast<std::size_t>(std::count_if(
+        connections_.begin(), connections_.end(), [](const std::unique_ptr<pooled_connection>& connection) {
+            return connection->open_ && connection->has_unanswered();
+        }));
+}
+
+bool proxy_instance::has_idle() const {
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const std::unique_ptr<pooled_connection>& connection) {
+                           return connection->open_ && !connection->used_;
+                       });
+}
+
+pooled_connection* proxy_instance::take(const session_state& session) {
+    if (in_flight() >= settings_.max_in_flight) {
+        return nullptr;
+    }
+    pooled_connection* best = nullptr;
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        if (!connection->open_ || connection->used_) {
+            continue;
+        }
+        if (connection->held.matches_values(session)) {
+            best = connection.get();
+            break;
+        }
+        best = connection.get();
+    }
+    if (best != nullptr) {
+        best->used_ = true;
+        best->last_used_ = now();
+    }
+    return best;
+}
+
+bool proxy_instance::open_more(std::size_t wanted) {
+    std::size_t opening = 0;
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        opening += connection->open_ ? 0U : 1U;
+    }
+    const time_point current = now();
+    while (opening < std::min(wanted, settings_.max_opening) &&
+           connections_.size() < settings_.max_connections && current >= open_after_) {
+        connections_.push_back(open());
+        ++opening;
+    }
+    return opening > 0;
+}
+
+std::unique_ptr<pooled_connection> proxy_instance::open() {
+    std::unique_ptr<pooled_connection> connection =
+        std::make_unique<pooled_connection>(*this, next_connection_number());
+    pooled_connection* opened = connection.get();
+    opened->opened_at_ = now();
+    opened->last_used_ = opened->opened_at_;
+    opened->link_ = network_.open(listed_.address, listed_.group, listed_.id);
+    opened->link_->on_open = [this, opened](const statement_result& greeting) {
+        on_opened(*opened, greeting);
+    };
+    opened->link_->on_answer = [opened](instance_answer& answer) { opened->receive(answer); };
+    opened->link_->on_end = [this, opened](link_end end) { drop(*opened, end); };
+    if (on_opening) {
+        on_opening();
+    }
+    return connection;
+}
+
+void proxy_instance::on_opened(pooled_connection& connection, const statement_result& greeting) {
+    if (greeting.outcome != statement_outcome::done) {
+        log_.write(log_level::info, "pool", "connection_refused",
+                   {{"instance", listed_.id},
+                    {"group", listed_.group},
+                    {"outcome", to_string(greeting.outcome)},
+                    {"connections", connections_.size()}});
+        drop(connection,
+             greeting.outcome == statement_outcome::misrouted ? link_end::refused : link_end::rejected);
+        return;
+    }
+    connection.open_ = true;
+    open_pause_ = settings_.min_open_pause;
+    last_answer_ = now();
+    if (greeting.position && (!position_ || *position_ < *greeting.position)) {
+        position_ = greeting.position;
+    }
+    if (on_capacity) {
+        on_capacity();
+    }
+}
+
+void proxy_instance::on_answer(command_kind kind, time_point sent_at, const instance_answer& answer) {
+    last_answer_ = now();
+    if (answer.result.position && (!position_ || *position_ < *answer.result.position)) {
+        position_ = answer.result.position;
+    }
+    if (is_statement(kind)) {
+        record_latency(sent_at);
+    }
+    if (on_answered) {
+        on_answered(*this, kind, sent_at, answer);
+    }
+}
+
+void proxy_instance::record_latency(time_point sent_at) {
+    const double sample = static_cast<double>((now() - sent_at).count()) / microseconds_per_ms;
+    latency_ms_ += latency_weight * (sample - latency_ms_);
+}
+
+double proxy_instance::expected_ms() const {
+    const double idle_ms = static_cast<double>((now() - last_answer_).count()) / microseconds_per_ms;
+    const double aged =
+        in_flight() > 0 ? latency_ms_ : latency_ms_ * std::exp2(-idle_ms / latency_half_life_ms);
+    const double slots = static_cast<double>(std::max<std::int64_t>(listed_.slots, 1));
+    return std::max(aged, 1.0) * (1.0 + static_cast<double>(in_flight()) / slots);
+}
+
+std::optional<time_point> proxy_instance::commit_waiting_since() const {
+    std::optional<time_point> oldest;
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        if (connection->pending_.empty()) {
+            continue;
+        }
+        const pooled_connection::pending_command& front = connection->pending_.front();
+        if (front.changes_data && (!oldest || front.sent_at < *oldest)) {
+            oldest = front.sent_at;
+        }
+    }
+    return oldest;
+}
+
+bool proxy_instance::is_usable() const {
+    const time_point current = now();
+    if (current < paused_until_) {
+        return false;
+    }
+    const bool any_open =
+        std::any_of(connections_.begin(), connections_.end(),
+                    [](const std::unique_ptr<pooled_connection>& connection) { return connection->open_; });
+    if (!any_open && (current < open_after_ || open_pause_ > settings_.min_open_pause)) {
+        return false;
+    }
+    // Unanswered for long, and nothing else has been answered since then either.
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        const std::optional<time_point> since = connection->waiting_since();
+        if (since && current - *since > settings_.suspect_after &&
+            current - last_answer_ > settings_.suspect_after) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void proxy_instance::give_back(pooled_connection& connection) {
+    connection.on_lost = nullptr;
+    if (!connection.open_) {
+        return;
+    }
+    if (connection.has_unanswered() || connection.state_ != transaction_state::idle) {
+        drop(connection, link_end::lost);
+        return;
+    }
+    connection.used_ = false;
+    connection.last_used_ = now();
+    if (on_capacity) {
+        on_capacity();
+    }
+}
+
+void proxy_instance::drop(pooled_connection& connection, link_end end) {
+    std::unique_ptr<pooled_connection> taken;
+    if (control_.get() == &connection) {
+        taken = std::move(control_);
+    } else {
+        for (std::vector<std::unique_ptr<pooled_connection>>::iterator entry = connections_.begin();
+             entry != connections_.end(); ++entry) {
+            if (entry->get() == &connection) {
+                taken = std::move(*entry);
+                connections_.erase(entry);
+                break;
+            }
+        }
+    }
+    if (taken == nullptr) {
+        return;
+    }
+    if (!taken->open_) {
+        open_after_ = now() + open_pause_;
+        open_pause_ = std::min(open_pause_ * 2, settings_.max_open_pause);
+    }
+    release(std::move(taken));
+    if (on_failure) {
+        on_failure(*this, end);
+    }
+    if (on_capacity) {
+        on_capacity();
+    }
+}
+
+void proxy_instance::release(std::unique_ptr<pooled_connection> connection) {
+    pooled_connection& ending = *connection;
+    ending.open_ = false;
+    ending.pending_.clear();
+    const std::function<void()> lost = std::move(ending.on_lost);
+    ending.on_lost = nullptr;
+    // Kept until the next tick: this may be called from within one of its own hooks.
+    ended_.push_back(std::move(connection));
+    if (lost) {
+        lost();
+    }
+}
+
+pooled_connection* proxy_instance::control() {
+    if (control_ == nullptr) {
+        if (now() < open_after_) {
+            return nullptr;
+        }
+        control_ = open();
+    }
+    return control_->open_ ? control_.get() : nullptr;
+}
+
+void proxy_instance::tick() {
+    ended_.clear();
+    const time_point current = now();
+    std::vector<pooled_connection*> late;
+    std::vector<pooled_connection*> idle;
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        if (!connection->open_ && current - connection->opened_at_ > settings_.open_timeout) {
+            late.push_back(connection.get());
+        }
+        if (connection->open_ && !connection->used_ &&
+            current - connection->last_used_ > settings_.idle_limit) {
+            idle.push_back(connection.get());
+        }
+    }
+    if (control_ && !control_->open_ && current - control_->opened_at_ > settings_.open_timeout) {
+        late.push_back(control_.get());
+    }
+    for (pooled_connection* connection : late) {
+        drop(*connection, link_end::timed_out);
+    }
+    for (std::size_t extra = settings_.kept_idle; extra < idle.size(); ++extra) {
+        drop(*idle[extra], link_end::lost);
+    }
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -0,0 +1,99 @@
+#include "gentianhill/proxy/proxy_setting_definitions.h"
+
+#include <cassert>
+#include <utility>
+#include <vector>
+
+namespace gentianhill {
+
+namespace {
+
+setting_definition make_text(const char* name, setting_type type, const char* help) {
+    setting_definition result;
+    result.name = name;
+    result.type = type;
+    result.required = true;
+    result.help = help;
+    return result;
+}
+
+setting_definition make_number(const char* name, std::int64_t value, std::int64_t low, std::int64_t high,
+                               const char* unit, const char* help) {
+    setting_definition result;
+    result.name = name;
+    result.type = setting_type::integer;
+    result.default_value = std::to_string(value);
+    result.low = low;
+    result.high = high;
+    result.unit = unit;
+    result.help = help;
+    return result;
+}
+
+std::vector<setting_definition> make_definitions() {
+    std::vector<setting_definition> result;
+    result.push_back(
+        make_text("name", setting_type::name, "Identifier of the daemon, unique in the deployment."));
+    result.push_back(make_text("zone", setting_type::name, "Availability zone that the daemon runs in."));
+    result.push_back(make_text("client_listen", setting_type::address, "Address for clients."));
+    result.push_back(
+        make_text("admin_listen", setting_type::address, "Address for /readyz, /livez and /metrics."));
+    result.push_back(make_text("store", setting_type::address, "Address of the metadata store."));
+    result.push_back(make_text("promotion_service", setting_type::address,
+                               "Address of the service that promotes instances."));
+    result.push_back(make_number("daemons", 4, 1, 10'000, "daemons",
+                                 "Daemons among which the connections of each instance are shared."));
+    result.push_back(make_number("grace_s", 6, 1, 600, "s", "Time from the request to stop until the end."));
+    result.push_back(make_number("turn_spacing_ms", 0, 0, 600'000, "ms",
+                                 "Shortest time between the turns of two holders of the failover duty."));
+    result.push_back(
+        make_number("trust_window_ms", 400, 50, 10'000, "ms",
+                    "Time for which a primary is trusted after evidence. The same on all daemons: a "
+                    "promotion waits for longer."));
+    setting_definition level;
+    level.name = "log_level";
+    level.type = setting_type::choice;
+    level.default_value = "info";
+    level.choices = {"debug", "info", "warning", "error"};
+    level.help = "Lowest level of log lines.";
+    result.push_back(std::move(level));
+    result.push_back(make_number("log_repeats_per_second", 20, 1, 10'000, "lines",
+                                 "Log lines of one event per second; further ones are counted."));
+    return result;
+}
+
+endpoint address_of(const setting_values& values, std::string_view name) {
+    error ignored;
+    const std::optional<endpoint> parsed = endpoint::parse(values.text(name), name, ignored);
+    assert(parsed);
+    return *parsed;
+}
+
+} // namespace
+
+std::span<const setting_definition> proxy_setting_definitions() {
+    static const std::vector<setting_definition> definitions = make_definitions();
+    return definitions;
+}
+
+proxy_process_settings proxy_process_settings::from(const setting_values& values) {
+    /// Longer than the trust window by more than timers and clocks can be off.
+    constexpr duration trust_margin = std::chrono::milliseconds(30);
+    proxy_process_settings result;
+    result.proxy.name = values.text("name");
+    result.proxy.zone = values.text("zone");
+    result.proxy.assumed_daemons = static_cast<std::size_t>(values.integer("daemons"));
+    result.proxy.grace = std::chrono::seconds(values.integer("grace_s"));
+    result.proxy.lease.turn_spacing = std::chrono::milliseconds(values.integer("turn_spacing_ms"));
+    result.proxy.group.trust_window = std::chrono::milliseconds(values.integer("trust_window_ms"));
+    result.proxy.failover.promotion.trust_wait = result.proxy.group.trust_window + trust_margin;
+    result.client_listen = address_of(values, "client_listen");
+    result.admin_listen = address_of(values, "admin_listen");
+    result.store = address_of(values, "store");
+    result.promotion_service = address_of(values, "promotion_service");
+    result.level = log_level_from(values.text("log_level")).value_or(log_level::info);
+    result.log_repeats_per_second = values.integer("log_repeats_per_second");
+    return result;
+}
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/proxy_setting_definitions.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "gentianhill/core/endpoint.h"
+#include "gentianhill/core/logger.h"
+#include "gentianhill/core/setting_values.h"
+#include "gentianhill/proxy/proxy.h"
+
+#include <optional>
+#include <span>
+
+namespace gentianhill {
+
+/// Definitions of all settings of a proxy on the users' platform.
+[[nodiscard]] std::span<const setting_definition> proxy_setting_definitions();
+
+/// Settings of the process: those of the proxy, and the addresses of the packages around it.
+struct proxy_process_settings {
+    proxy_settings proxy;
+    /// Where clients connect.
+    endpoint client_listen;
+    /// Where /readyz, /livez and /metrics are served.
+    endpoint admin_listen;
+    /// Address of the metadata store.
+    endpoint store;
+    /// Address of the service that promotes instances.
+    endpoint promotion_service;
+    log_level level = log_level::info;
+    std::int64_t log_repeats_per_second = 0;
+
+    /// Converts checked values.
+    [[nodiscard]] static proxy_process_settings from(const setting_values& values);
+};
+
+} // namespace gentianhill
--- /dev/null
+++ b/gentianhill/proxy/statement_task.cpp
@@ -0,0 +1,356 @@
+#include "gentianhill/proxy/statement_task.h"
+
+#include "gentianhill/proxy/database_group.h"
+#include "gentianhill/proxy/proxy_instance.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Attempts of one statement; more would only add load.
+constexpr std::uint32_t max_attempts = 8;
+/// Reads under way at the same time for one statement.
+constexpr std::size_t max_parallel_reads = 2;
+/// An instance that says it is full gets no new statements for this time.
+constexpr duration busy_pause = 20ms;
+/// A second read starts when the first has taken this share of the route's target, and clearly longer than
+/// the instance's answers take.
+constexpr double second_read_share = 0.45;
+constexpr double second_read_factor = 3.0;
+/// Without an instance that could serve it, a statement waits for this share of the route's target.
+constexpr double hopeless_share = 0.2;
+/// With a live instance, a statement may wait for a connection for this share of the timeout.
+constexpr double queue_share = 0.8;
+constexpr double microseconds_per_ms = 1000.0;
+
+duration share_of(duration length, double share) {
+    return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * share));
+}
+
+} // namespace
+
+statement_task::statement_task(database_group& group, request asked, result_handler done)
+    : group_(group), asked_(std::move(asked)), done_(std::move(done)) {}
+
+bool statement_task::is_transaction() const {
+    return asked_.access == access_kind::transaction || asked_.access == access_kind::read_transaction;
+}
+
+bool statement_task::may_repeat() const {
+    // Before its commit, a transaction leaves nothing behind when its connection ends.
+    const bool commits = asked_.text.kind == statement_kind::commit;
+    return is_transaction() ? !commits || !asked_.writes : asked_.access == access_kind::read;
+}
+
+const prepared_statement* statement_task::needed() const {
+    return asked_.text.kind == statement_kind::execute ? asked_.session->find_prepared(asked_.text.name)
+                                                       : nullptr;
+}
+
+placement_query statement_task::query() const {
+    placement_query query;
+    query.access = asked_.access;
+    query.rule = asked_.through->rule;
+    query.first_byte = asked_.first_byte;
+    query.max_staleness = asked_.through->max_staleness;
+    query.session_position = asked_.session_position;
+    query.fresh_after = asked_.fresh_after;
+    query.session = asked_.session;
+    query.excluded = &excluded_;
+    return query;
+}
+
+void statement_task::start() {
+    self_ = shared_from_this();
+    waiting_ = true;
+    waiting_since_ = group_.now();
+    group_.track(self_);
+    if (!try_place()) {
+        group_.enqueue(shared_from_this());
+    }
+}
+
+bool statement_task::try_place() {
+    if (!is_waiting()) {
+        return true;
+    }
+    const placement placed = group_.place(query());
+    if (placed.connection == nullptr) {
+        wait_reason_ = placed.wait;
+        return false;
+    }
+    waiting_ = false;
+    run(placed);
+    return true;
+}
+
+void statement_task::run(const placement& placed) {
+    ++started_attempts_;
+    const attempt_pointer current = std::make_shared<attempt>();
+    current->connection = placed.connection;
+    current->instance = placed.connection->owner().listed().id;
+    current->since = placed.since;
+    current->started_at = group_.now();
+    attempts_.push_back(current);
+    placed.connection->on_lost = [this, current] { on_lost(current); };
+    set_up(current);
+}
+
+void statement_task::set_up(const attempt_pointer& current) {
+    const std::vector<setup_step> steps = current->connection->held.plan(*asked_.session, needed());
+    if (steps.empty()) {
+        begin(current);
+        return;
+    }
+    group_.send_setup(*current->connection, steps, [this, current](bool ready) {
+        const std::shared_ptr<statement_task> keep = self_;
+        if (!ready) {
+            // Ends the attempt through on_lost.
+            current->connection->owner().drop(*current->connection, link_end::lost);
+            return;
+        }
+        if (finished_) {
+            return_connection(current);
+            return;
+        }
+        begin(current);
+    });
+}
+
+void statement_task::begin(const attempt_pointer& current) {
+    if (!is_transaction()) {
+        send_statement(current);
+        return;
+    }
+    instance_command command;
+    command.kind = asked_.access == access_kind::transaction ? command_kind::begin : command_kind::begin_read;
+    command.since = current->since;
+    current->connection->send(command, [this, current](instance_answer& answer) {
+        const std::shared_ptr<statement_task> keep = self_;
+        if (finished_ || answer.result.outcome != statement_outcome::done) {
+            on_result(current, answer);
+            return;
+        }
+        send_statement(current);
+    });
+}
+
+void statement_task::send_statement(const attempt_pointer& current) {
+    current->statement_sent = true;
+    const std::string shared_name = needed() != nullptr ? shared_statement_name(*needed()) : std::string{};
+    instance_command command = make_statement_command(asked_.text, shared_name);
+    if (!is_transaction()) {
+        command.since = current->since;
+        command.changes_data = asked_.writes;
+    }
+    current->connection->send(command,
+                              [this, current](instance_answer& answer) { on_result(current, answer); });
+}
+
+void statement_task::on_result(const attempt_pointer& current, instance_answer& answer) {
+    const std::shared_ptr<statement_task> keep = self_;
+    if (finished_) {
+        return_connection(current);
+        return;
+    }
+    const statement_outcome outcome = answer.result.outcome;
+    if (outcome == statement_outcome::done) {
+        if (asked_.writes && !is_transaction()) {
+            group_.on_commit_acknowledged(current->connection->owner(), answer.result, current->started_at);
+        }
+        const bool keeps = is_transaction() && answer.result.state == transaction_state::open;
+        pooled_connection* connection = keeps ? current->connection : nullptr;
+        if (keeps) {
+            connection->on_lost = nullptr;
+            remove(current);
+        } else {
+            return_connection(current);
+        }
+        finish(std::move(answer.result), connection);
+        return;
+    }
+    const std::string instance = current->instance;
+    proxy_instance& owner = current->connection->owner();
+    const std::string detail = answer.result.detail;
+    if (outcome == statement_outcome::no_statement && needed() != nullptr) {
+        current->connection->held.forget(shared_statement_name(*needed()));
+    }
+    return_connection(current);
+    group_.log_failed_attempt(asked_.text.id, instance, outcome, started_attempts_);
+    switch (outcome) {
+    case statement_outcome::busy:
+        owner.pause_for(busy_pause);
+        retry(instance, outcome, true);
+        return;
+    case statement_outcome::lagging:
+        retry(instance, outcome, true);
+        return;
+    case statement_outcome::read_only:
+        group_.on_not_primary(instance);
+        retry(instance, outcome, false);
+        return;
+    case statement_outcome::no_statement:
+        retry(instance, outcome, false);
+        return;
+    case statement_outcome::failed:
+    case statement_outcome::timed_out:
+        if (may_repeat()) {
+            retry(instance, outcome, true);
+            return;
+        }
+        refuse(outcome, detail);
+        return;
+    default:
+        refuse(outcome, detail);
+        return;
+    }
+}
+
+void statement_task::on_lost(const attempt_pointer& current) {
+    const std::shared_ptr<statement_task> keep = self_;
+    const bool unknown = current->statement_sent && !may_repeat();
+    remove(current);
+    if (finished_) {
+        return;
+    }
+    group_.log_failed_attempt(asked_.text.id, current->instance, statement_outcome::in_doubt,
+                              started_attempts_);
+    if (unknown) {
+        refuse(statement_outcome::in_doubt, "connection to the instance lost");
+        return;
+    }
+    retry(current->instance, statement_outcome::busy, true);
+}
+
+void statement_task::return_connection(const attempt_pointer& current) {
+    const std::shared_ptr<statement_task> keep = self_;
+    pooled_connection* connection = current->connection;
+    remove(current);
+    connection->on_lost = nullptr;
+    group_.return_connection(*connection);
+}
+
+void statement_task::remove(const attempt_pointer& current) {
+    attempts_.erase(std::remove(attempts_.begin(), attempts_.end(), current), attempts_.end());
+    if (finished_ && attempts_.empty()) {
+        self_.reset();
+    }
+}
+
+void statement_task::retry(const std::string& instance, statement_outcome because, bool elsewhere) {
+    last_failure_ = because;
+    if (elsewhere && std::find(excluded_.begin(), excluded_.end(), instance) == excluded_.end()) {
+        excluded_.push_back(instance);
+    }
+    if (!attempts_.empty() || waiting_) {
+        return;
+    }
+    if (started_attempts_ >= max_attempts) {
+        refuse(because, "every attempt failed");
+        return;
+    }
+    waiting_ = true;
+    waiting_since_ = group_.now();
+    // Not placed at once: an instance that refuses everything would be asked without a pause.
+    group_.enqueue(shared_from_this());
+}
+
+void statement_task::tick(time_point now) {
+    if (finished_) {
+        return;
+    }
+    const std::shared_ptr<statement_task> keep = self_;
+    if (now >= asked_.received_at + asked_.through->timeout) {
+        time_out();
+        return;
+    }
+    if (attempts_.empty()) {
+        if (waiting_) {
+            refuse_if_hopeless(now);
+        }
+        return;
+    }
+    if (asked_.access == access_kind::read && !waiting_ && attempts_.size() < max_parallel_reads) {
+        start_second_read(now);
+    }
+}
+
+void statement_task::time_out() {
+    const bool sent = std::any_of(attempts_.begin(), attempts_.end(),
+                                  [](const attempt_pointer& current) { return current->statement_sent; });
+    const std::vector<attempt_pointer> ended = attempts_;
+    statement_outcome outcome = statement_outcome::busy;
+    if (sent) {
+        outcome = asked_.access == access_kind::read ? statement_outcome::timed_out
+                  : may_repeat()                     ? statement_outcome::aborted
+                                                     : statement_outcome::in_doubt;
+    }
+    refuse(outcome, "timeout of the route reached");
+    for (const attempt_pointer& current : ended) {
+        current->connection->owner().drop(*current->connection, link_end::timed_out);
+    }
+}
+
+void statement_task::refuse_if_hopeless(time_point now) {
+    const duration waited = now - waiting_since_;
+    const bool hopeless = wait_reason_ != placement_wait::no_connection;
+    const duration limit = hopeless
+                               ? std::max(share_of(asked_.through->target, hopeless_share), group_.patience())
+                               : share_of(asked_.through->timeout, queue_share);
+    if (waited >= limit) {
+        refuse(is_transaction() ? statement_outcome::aborted : statement_outcome::busy,
+               to_string(wait_reason_));
+    }
+}
+
+void statement_task::start_second_read(time_point now) {
+    const attempt_pointer& first = attempts_.front();
+    const double expected =
+        first->connection->owner().expected_ms() * second_read_factor * microseconds_per_ms;
+    const duration patience = std::max(share_of(asked_.through->target, second_read_share),
+                                       duration(static_cast<std::int64_t>(expected)));
+    if (now - first->started_at < patience || !group_.may_start_second_read()) {
+        return;
+    }
+    excluded_.push_back(first->instance);
+    waiting_ = true;
+    waiting_since_ = now;
+    if (!try_place()) {
+        group_.enqueue(shared_from_this());
+    }
+}
+
+void statement_task::abandon() {
+    const std::shared_ptr<statement_task> keep = self_;
+    finished_ = true;
+    waiting_ = false;
+    done_ = nullptr;
+    if (attempts_.empty()) {
+        self_.reset();
+    }
+}
+
+void statement_task::refuse(statement_outcome outcome, std::string_view detail) {
+    finish(
+        make_refusal(outcome, detail, is_transaction() ? transaction_state::failed : transaction_state::idle),
+        nullptr);
+}
+
+void statement_task::finish(statement_result result, pooled_connection* connection) {
+    const std::shared_ptr<statement_task> keep = self_;
+    finished_ = true;
+    waiting_ = false;
+    const result_handler done = std::move(done_);
+    done_ = nullptr;
+    if (attempts_.empty()) {
+        self_.reset();
+    }
+    done(result, connection);
+}
+
+} // namespace gentianhill
--- a/gentianhill/platform/create_task.cpp
+++ b/gentianhill/store/create_task.cpp
@@ -1,4 +1,4 @@
-#include "gentianhill/platform/create_task.h"
+#include "gentianhill/store/create_task.h"
 
 #include <utility>
 
--- a/gentianhill/platform/create_task.h
+++ b/gentianhill/store/create_task.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gentianhill/http2/backoff.h"
-#include "gentianhill/platform/object_store.h"
-#include "gentianhill/platform/update_task.h"
+#include "gentianhill/store/object_store.h"
+#include "gentianhill/store/update_task.h"
 
 #include <memory>
 #include <string>
--- a/gentianhill/platform/object_store.cpp
+++ b/gentianhill/store/object_store.cpp
@@ -1,8 +1,8 @@
-#include "gentianhill/platform/object_store.h"
+#include "gentianhill/store/object_store.h"
 
-#include "gentianhill/platform/create_task.h"
-#include "gentianhill/platform/store_wire.h"
-#include "gentianhill/platform/update_task.h"
+#include "gentianhill/store/create_task.h"
+#include "gentianhill/store/store_wire.h"
+#include "gentianhill/store/update_task.h"
 
 #include <cassert>
 #include <utility>
--- a/gentianhill/platform/object_store.h
+++ b/gentianhill/store/object_store.h
@@ -2,7 +2,7 @@
 
 #include "gentianhill/core/event_loop.h"
 #include "gentianhill/http2/reconnecting_client.h"
-#include "gentianhill/platform/store_result.h"
+#include "gentianhill/store/store_result.h"
 
 #include <cstdint>
 #include <deque>
--- a/gentianhill/platform/prefix_watch.cpp
+++ b/gentianhill/store/prefix_watch.cpp
@@ -1,4 +1,4 @@
-#include "gentianhill/platform/prefix_watch.h"
+#include "gentianhill/store/prefix_watch.h"
 
 #include <algorithm>
 #include <set>
--- a/gentianhill/platform/prefix_watch.h
+++ b/gentianhill/store/prefix_watch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gentianhill/http2/backoff.h"
-#include "gentianhill/platform/object_store.h"
+#include "gentianhill/store/object_store.h"
 
 #include <cstdint>
 #include <functional>
--- a/gentianhill/platform/store_result.cpp
+++ b/gentianhill/store/store_result.cpp
@@ -1,4 +1,4 @@
-#include "gentianhill/platform/store_result.h"
+#include "gentianhill/store/store_result.h"
 
 #include <array>
 #include <utility>
--- a/gentianhill/platform/store_wire.cpp
+++ b/gentianhill/store/store_wire.cpp
@@ -1,4 +1,4 @@
-#include "gentianhill/platform/store_wire.h"
+#include "gentianhill/store/store_wire.h"
 
 #include "gentianhill/core/object_reader.h"
 
--- a/gentianhill/platform/store_wire.h
+++ b/gentianhill/store/store_wire.h
@@ -2,7 +2,7 @@
 
 #include "gentianhill/core/time.h"
 #include "gentianhill/http2/message.h"
-#include "gentianhill/platform/store_result.h"
+#include "gentianhill/store/store_result.h"
 
 #include <optional>
 #include <string>
--- a/gentianhill/platform/update_task.cpp
+++ b/gentianhill/store/update_task.cpp
@@ -1,4 +1,4 @@
-#include "gentianhill/platform/update_task.h"
+#include "gentianhill/store/update_task.h"
 
 #include <algorithm>
 #include <utility>
--- a/tests/platform/object_store_tests.cpp
+++ b/tests/store/object_store_tests.cpp
@@ -1,4 +1,4 @@
-#include "tests/platform/scripted_store.h"
+#include "tests/store/scripted_store.h"
 
 #include <algorithm>
 
--- a/tests/platform/prefix_watch_tests.cpp
+++ b/tests/store/prefix_watch_tests.cpp
@@ -1,5 +1,5 @@
-#include "gentianhill/platform/prefix_watch.h"
-#include "tests/platform/scripted_store.h"
+#include "gentianhill/store/prefix_watch.h"
+#include "tests/store/scripted_store.h"
 
 using namespace gentianhill;
 using namespace std::chrono_literals;
--- a/tests/platform/scripted_store.h
+++ b/tests/store/scripted_store.h
@@ -2,7 +2,7 @@
 
 #include "gentianhill/core/object_reader.h"
 #include "gentianhill/http2/server.h"
-#include "gentianhill/platform/object_store.h"
+#include "gentianhill/store/object_store.h"
 
 #include <doctest/doctest.h>
 
