Ask for evidence and probe the primary only when it is needed

Most were probes of a primary that was idle for 200 ms, the rest renewals ahead of need.

Change: probe after 200 ms only while the primary owes an answer, else after 1 s; no renewal ahead; a transaction on a route with bounded staleness needs a primary that led within that time only; a begin carries the client's id.

--- a/gentianhill/failover/primary_watch.h
+++ b/gentianhill/failover/primary_watch.h
@@ -57,6 +57,8 @@
     void set_leaving(bool leaving) { leaving_ = leaving; }
     /// Judgement of now.
     [[nodiscard]] primary_verdict verdict(time_point now) const;
+    /// True when a probe or a connection attempt has failed since the last answer.
+    [[nodiscard]] bool has_failed() const { return failures_ > 0; }
     /// Time since the last answer; a probe is due when it grows.
     [[nodiscard]] duration silence(time_point now) const { return now - last_answer_; }
 
--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -138,6 +138,7 @@
     // The instance's transaction is opened with the first statement, so an idle one holds no connection.
     open_transaction opened;
     opened.reads_only = next.kind == statement_kind::begin_read;
+    opened.begin_id = next.id;
     opened.first_byte = received_at_;
     opened.last_activity = received_at_;
     opened.through = std::move(through);
@@ -204,6 +205,7 @@
     request.fresh_after = fresh_after_;
     if (transaction_) {
         request.through = transaction_->through;
+        request.begin_id = transaction_->begin_id;
         request.first_byte = transaction_->first_byte;
         request.access = transaction_->reads_only ? access_kind::read_transaction : access_kind::transaction;
     } else {
--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -60,6 +60,8 @@
         bool failed = false;
         /// Data was changed, so that the outcome of its commit matters.
         bool wrote = false;
+        /// Identifier of the client's begin.
+        std::string begin_id;
         time_point first_byte;
         time_point last_activity;
         std::shared_ptr<const route> through;
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -10,14 +10,15 @@
 
 using namespace std::chrono_literals;
 
-/// Demand for evidence or read points counts as present for this time after it was last shown.
-constexpr duration demand_lasts = 400ms;
+/// Time for the nearest replica to give evidence before the others are asked as well.
+constexpr duration evidence_patience = 30ms;
 /// Status calls to one instance that have not been answered are repeated after this time.
 constexpr duration status_timeout = 250ms;
 /// Questions who leads are not asked more often than this.
 constexpr duration survey_pause = 150ms;
-/// Silence of the primary after which it is probed.
-constexpr duration probe_after = 200ms;
+/// Silence of the primary after which it is probed, when it owes an answer and when it owes none.
+constexpr duration probe_after_unanswered = 200ms;
+constexpr duration probe_after_idle = 1000ms;
 /// Second reads as a share of all statements, so that they cannot multiply an overload.
 constexpr double second_read_ratio = 0.05;
 constexpr double second_read_capacity = 20.0;
@@ -145,14 +146,10 @@
     if (instance == nullptr) {
         return {nullptr, std::nullopt, placement_wait::no_primary};
     }
-    const time_point current = now();
     // A write at a superseded primary is never acknowledged, but a read there would be stale.
-    if (query.access != access_kind::write) {
-        evidence_wanted_ = current;
-        if (!trust_.covers(current)) {
-            want_evidence();
-            return {nullptr, std::nullopt, placement_wait::no_evidence};
-        }
+    if (query.access != access_kind::write && !trust_.covers(trust_needed_at(query))) {
+        want_evidence();
+        return {nullptr, std::nullopt, placement_wait::no_evidence};
     }
     if (!instance->is_usable()) {
         static_cast<void>(instance->open_more(1));
@@ -161,12 +158,20 @@
     return take(*instance, query, std::nullopt);
 }
 
-placement database_group::place_read(const placement_query& query) {
-    const time_point current = now();
-    read_point_wanted_ = current;
+time_point database_group::trust_needed_at(const placement_query& query) const {
+    // Reads of a transaction may miss what the route allows them to miss, but no commit of their own session.
+    const bool may_be_older = query.rule != read_rule::latest && query.fresh_after == time_point{} &&
+                              (!query.session_position || query.session_position->term <= term_);
+    return may_be_older ? oldest_allowed(query) : now();
+}
+
+time_point database_group::oldest_allowed(const placement_query& query) const {
     const duration allowed = std::max(query.max_staleness - settings_.staleness_margin, duration(0));
-    const time_point oldest = std::max(query.first_byte - allowed, query.fresh_after);
-    const std::optional<log_position> point = points_.at_least(oldest, trust_.until());
+    return std::max(query.first_byte - allowed, query.fresh_after);
+}
+
+placement database_group::place_read(const placement_query& query) {
+    const std::optional<log_position> point = points_.at_least(oldest_allowed(query), trust_.until());
     if (!point) {
         want_read_point();
         return {nullptr, std::nullopt, placement_wait::no_read_point};
@@ -360,7 +365,7 @@
     }
     if (position->term > term_) {
         survey();
-    } else if (id == primary_id_ && position->term == term_) {
+    } else if (position->term == term_ && id == primary_id_) {
         points_.add(*position, sent_at);
     }
 }
@@ -415,6 +420,7 @@
     }
     if (status.term == term_ && status.is_receiving() && !primary_id_.empty()) {
         trust_.confirm(sent_at);
+        evidence_wanted_.reset();
         pump();
     } else if (status.term > term_) {
         survey();
@@ -453,7 +459,9 @@
 }
 
 void database_group::want_evidence() {
-    evidence_wanted_ = now();
+    if (!evidence_wanted_) {
+        evidence_wanted_ = now();
+    }
     // An instance of the own zone answers soonest and cheapest; the others follow when it has not answered.
     proxy_instance* nearest = nullptr;
     bool asked_any = false;
@@ -472,7 +480,6 @@
 }
 
 void database_group::want_read_point() {
-    read_point_wanted_ = now();
     proxy_instance* leader = primary();
     if (leader == nullptr) {
         survey();
@@ -484,33 +491,32 @@
     }
 }
 
-void database_group::renew() {
-    const time_point current = now();
-    const time_point soon = current + settings_.renew_ahead;
-    if (current - evidence_wanted_ < demand_lasts && !trust_.covers(soon)) {
-        const time_point wanted = evidence_wanted_;
-        want_evidence();
-        // Renewal is not demand of its own.
-        evidence_wanted_ = wanted;
-        const bool overdue = !trust_.covers(current);
-        if (overdue) {
-            for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry :
-                 instances_) {
-                if (entry.first != primary_id_) {
-                    ask_status(*entry.second);
-                }
-            }
+void database_group::ask_others() {
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        if (entry.first != primary_id_) {
+            ask_status(*entry.second);
         }
     }
 }
 
+void database_group::repeat_questions(time_point current) {
+    // The nearest replica has not answered: any other one serves as well.
+    if (evidence_wanted_ && current - *evidence_wanted_ > evidence_patience) {
+        evidence_wanted_.reset();
+        ask_others();
+    }
+}
+
 void database_group::probe_primary(time_point current) {
     proxy_instance* leader = primary();
     if (leader == nullptr) {
         survey();
         return;
     }
-    if (watch_.silence(current) < probe_after) {
+    const std::optional<time_point> unanswered = leader->oldest_unanswered();
+    const bool owes_answer =
+        (unanswered && current - *unanswered >= probe_after_unanswered) || watch_.has_failed();
+    if (watch_.silence(current) < (owes_answer ? probe_after_unanswered : probe_after_idle)) {
         return;
     }
     const std::map<std::string, time_point>::iterator open = asked_.find(primary_id_);
@@ -540,7 +546,7 @@
             watch_.on_commit_waiting(*commit, current);
         }
     }
-    renew();
+    repeat_questions(current);
     tick_tasks(current);
     pump();
 }
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -28,8 +28,6 @@
     std::string zone;
     /// Time for which a primary is trusted after evidence; a promotion waits for longer.
     duration trust_window = std::chrono::milliseconds(400);
-    /// Evidence and read points are renewed when they would end within this time, while they are in use.
-    duration renew_ahead = std::chrono::milliseconds(100);
     /// Subtracted from the staleness that a route allows, for the way of the answer.
     duration staleness_margin = std::chrono::milliseconds(100);
     /// Added to the expected time at an instance of another zone, in ms.
@@ -135,7 +133,12 @@
     void adopt(const std::string& id, term_number term);
     void want_evidence();
     void want_read_point();
-    void renew();
+    void ask_others();
+    void repeat_questions(time_point current);
+    /// Moment at which the primary has to have been the only one, for a read there.
+    [[nodiscard]] time_point trust_needed_at(const placement_query& query) const;
+    /// Moment after which a read must have seen every commit that was acknowledged before it.
+    [[nodiscard]] time_point oldest_allowed(const placement_query& query) const;
     void probe_primary(time_point current);
     void tick_tasks(time_point current);
     [[nodiscard]] proxy_instance* primary();
@@ -162,8 +165,7 @@
 
     /// Status calls under way, by instance.
     std::map<std::string, time_point> asked_;
-    time_point evidence_wanted_;
-    time_point read_point_wanted_;
+    std::optional<time_point> evidence_wanted_;
     time_point last_survey_;
     double second_read_budget_ = 0;
 };
--- a/gentianhill/proxy/instance_link.h
+++ b/gentianhill/proxy/instance_link.h
@@ -36,7 +36,8 @@
 /// One command; the views need to last only for the call that sends it.
 struct instance_command {
     command_kind kind = command_kind::status;
-    /// Identifier that the client gave; empty for the proxy's own commands.
+    /// Identifier that the client gave, also to a begin that is passed on later; empty for the proxy's own
+    /// commands.
     std::string_view id;
     /// Text of a client's read, write or commit, passed on unchanged.
     std::string_view text;
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -177,6 +177,17 @@
     return std::max(aged, 1.0) * (1.0 + static_cast<double>(in_flight()) / slots);
 }
 
+std::optional<time_point> proxy_instance::oldest_unanswered() const {
+    std::optional<time_point> oldest;
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        const std::optional<time_point> since = connection->waiting_since();
+        if (since && (!oldest || *since < *oldest)) {
+            oldest = since;
+        }
+    }
+    return oldest;
+}
+
 std::optional<time_point> proxy_instance::commit_waiting_since() const {
     std::optional<time_point> oldest;
     for (const std::unique_ptr<pooled_connection>& connection : connections_) {
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -95,6 +95,8 @@
     [[nodiscard]] std::size_t in_flight() const;
     /// All connections, the control connection included.
     [[nodiscard]] std::size_t connection_count() const { return connections_.size() + (control_ ? 1U : 0U); }
+    /// Oldest statement that waits for its answer.
+    [[nodiscard]] std::optional<time_point> oldest_unanswered() const;
     /// Oldest write or commit that waits for its answer.
     [[nodiscard]] std::optional<time_point> commit_waiting_since() const;
     /// Keeps the instance from new work for a while, after it has said that it is full.
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -129,6 +129,7 @@
     }
     instance_command command;
     command.kind = asked_.access == access_kind::transaction ? command_kind::begin : command_kind::begin_read;
+    command.id = asked_.begin_id;
     command.since = current->since;
     current->connection->send(command, [this, current](instance_answer& answer) {
         const std::shared_ptr<statement_task> keep = self_;
--- a/gentianhill/proxy/statement_task.h
+++ b/gentianhill/proxy/statement_task.h
@@ -31,6 +31,8 @@
         std::shared_ptr<const route> through;
         const session_state* session = nullptr;
         access_kind access = access_kind::read;
+        /// Identifier of the client's begin, for a transaction.
+        std::string begin_id;
         /// True when a single statement, or the statement that opens the transaction, writes.
         bool writes = false;
         /// Arrival of the statement, or of the begin of its transaction.
