Share connections by a daemon registry, read by the replicas' logs without a primary

Change: daemons register in the store and count each other; idle connections close after 2 s; the longest log of all replicas is a read point without a primary; writes are held only when the next primary is expected within their timeout, else refused at once.

--- /dev/null
+++ b/gentianhill/proxy/daemon_registry.cpp
@@ -0,0 +1,124 @@
+#include "gentianhill/proxy/daemon_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianhill {
+
+daemon_registry::daemon_registry(store_port& store, logger& log, const daemon_registry_settings& settings,
+                                 std::string name, std::string incarnation)
+    : store_(store),
+      log_(log),
+      settings_(settings),
+      name_(std::move(name)),
+      incarnation_(std::move(incarnation)) {}
+
+void daemon_registry::tick() {
+    if (left_) {
+        return;
+    }
+    const time_point current = now();
+    if (!writing_ && current >= next_refresh_) {
+        next_refresh_ = current + settings_.refresh;
+        write(seen_[name_].revision);
+    }
+    if (!listing_ && current >= next_look_) {
+        next_look_ = current + settings_.look;
+        listing_ = true;
+        for (std::map<std::string, observation>::value_type& entry : seen_) {
+            entry.second.listed = false;
+        }
+        list("");
+    }
+}
+
+void daemon_registry::write(std::uint64_t revision) {
+    writing_ = true;
+    stored_object object;
+    object.name = name_;
+    object.revision = revision;
+    object.content = {{"incarnation", incarnation_}, {"refresh", ++refreshes_}};
+    store_.put(
+        collection::proxies, object, [this, alive = std::weak_ptr<bool>(alive_)](const store_answer& answer) {
+            if (alive.expired()) {
+                return;
+            }
+            writing_ = false;
+            observation& own = seen_[name_];
+            if (answer.object &&
+                (answer.outcome == store_outcome::done || answer.outcome == store_outcome::conflict)) {
+                own.revision = answer.object->revision;
+            }
+            if (answer.outcome == store_outcome::not_found) {
+                own.revision = 0;
+            }
+            // An entry of an earlier process, or one that was removed, is written again at the next tick.
+            if (answer.outcome == store_outcome::conflict || answer.outcome == store_outcome::not_found) {
+                next_refresh_ = now();
+            }
+        });
+}
+
+void daemon_registry::list(const std::string& after) {
+    store_.list(collection::proxies, after,
+                [this, alive = std::weak_ptr<bool>(alive_)](const store_answer& answer) {
+                    if (!alive.expired()) {
+                        on_page(answer);
+                    }
+                });
+}
+
+void daemon_registry::on_page(const store_answer& answer) {
+    if (answer.outcome != store_outcome::done) {
+        listing_ = false;
+        return;
+    }
+    const time_point current = now();
+    for (const stored_object& object : answer.items) {
+        observation& entry = seen_[object.name];
+        if (entry.revision != object.revision || entry.changed_at == time_point{}) {
+            entry.revision = object.revision;
+            entry.changed_at = current;
+        }
+        entry.listed = true;
+    }
+    if (answer.has_more && !answer.items.empty()) {
+        list(answer.items.back().name);
+        return;
+    }
+    listing_ = false;
+    recount();
+}
+
+void daemon_registry::recount() {
+    const time_point current = now();
+    std::size_t counted = 0;
+    for (std::map<std::string, observation>::iterator entry = seen_.begin(); entry != seen_.end();) {
+        const bool own = entry->first == name_;
+        if (!own && !entry->second.listed) {
+            entry = seen_.erase(entry);
+            continue;
+        }
+        const bool live = own || current - entry->second.changed_at < settings_.lapse;
+        counted += live ? 1U : 0U;
+        ++entry;
+    }
+    if (counted == count_) {
+        return;
+    }
+    count_ = counted;
+    log_.write(log_level::info, "registry", "daemons_counted", {{"count", count_}});
+    if (on_count) {
+        on_count(count_);
+    }
+}
+
+void daemon_registry::leave() {
+    if (left_) {
+        return;
+    }
+    left_ = true;
+    store_.remove(collection::proxies, name_, [](const store_answer&) {});
+}
+
+} // namespace gentianhill
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -19,11 +19,20 @@
 /// Silence of the primary after which it is probed, when it owes an answer and when it owes none.
 constexpr duration probe_after_unanswered = 200ms;
 constexpr duration probe_after_idle = 1000ms;
+/// Time without a primary that is expected before one was seen.
+constexpr duration initial_gap = 1600ms;
+/// Bounds of what is learned from one gap; a longer one was held up by something else.
+constexpr duration min_gap = 400ms;
+constexpr duration max_gap = 3000ms;
+/// A replica that has gone may have been the only one with a commit; after this time the others have it too.
+constexpr duration membership_settles = 5s;
+/// Replicas that a group must have for their logs to stand for the primary's.
+constexpr std::size_t min_replicas = 2;
 /// Second reads as a share of all statements, so that they cannot multiply an overload.
 constexpr double second_read_ratio = 0.05;
 constexpr double second_read_capacity = 20.0;
 /// Part of an instance's connections that is not shared out, for proxies that start or are replaced.
-constexpr double connection_share = 0.9;
+constexpr double connection_share = 0.85;
 /// Statements in flight beyond the slots keep the instance busy while answers travel.
 constexpr std::size_t in_flight_reserve = 2;
 
@@ -53,7 +62,8 @@
       settings_(settings),
       clock_(std::move(clock)),
       trust_(settings.trust_window),
-      watch_(settings.watch) {
+      watch_(settings.watch),
+      expected_gap_(initial_gap) {
     watch_.reset(false, now());
 }
 
@@ -103,6 +113,7 @@
     instances_.erase(found);
     removed_.back()->close_all();
     asked_.erase(id);
+    members_changed_ = now();
     if (id == primary_id_) {
         adopt("", term_);
     }
@@ -143,6 +154,11 @@
 
 placement database_group::place_at_primary(const placement_query& query) {
     proxy_instance* instance = primary();
+    const bool only_reads =
+        query.access == access_kind::read || query.access == access_kind::read_transaction;
+    if (only_reads && (instance == nullptr || !instance->is_usable())) {
+        return place_latest_read(query);
+    }
     if (instance == nullptr) {
         return {nullptr, std::nullopt, placement_wait::no_primary};
     }
@@ -153,7 +169,7 @@
     }
     if (!instance->is_usable()) {
         static_cast<void>(instance->open_more(1));
-        return {nullptr, std::nullopt, placement_wait::no_instance};
+        return {nullptr, std::nullopt, placement_wait::no_primary};
     }
     return take(*instance, query, std::nullopt);
 }
@@ -171,7 +187,7 @@
 }
 
 placement database_group::place_read(const placement_query& query) {
-    const std::optional<log_position> point = points_.at_least(oldest_allowed(query), trust_.until());
+    const std::optional<log_position> point = find_point(oldest_allowed(query));
     if (!point) {
         want_read_point();
         return {nullptr, std::nullopt, placement_wait::no_read_point};
@@ -184,6 +200,21 @@
     return take(*instance, query, since);
 }
 
+std::optional<log_position> database_group::find_point(time_point oldest) const {
+    const std::optional<log_position> point = points_.at_least(oldest, trust_.until());
+    return point ? point : replica_points_.at_least(oldest, time_point::max());
+}
+
+placement database_group::place_latest_read(const placement_query& query) {
+    const std::optional<log_position> point = replica_points_.at_least(query.first_byte, time_point::max());
+    proxy_instance* instance = point ? choose(query, *point) : nullptr;
+    if (instance == nullptr) {
+        want_replica_point();
+        return {nullptr, std::nullopt, placement_wait::no_primary};
+    }
+    return take(*instance, query, *point);
+}
+
 proxy_instance* database_group::choose(const placement_query& query, const log_position& since) {
     proxy_instance* best = nullptr;
     proxy_instance* best_excluded = nullptr;
@@ -403,6 +434,9 @@
 
 void database_group::on_status(proxy_instance& instance, const instance_status& status, time_point sent_at) {
     const std::string& id = instance.listed().id;
+    if (id != primary_id_) {
+        on_replica_point(id, status, sent_at);
+    }
     if (status.is_primary) {
         if (status.term > term_ || (status.term == term_ && primary_id_.empty())) {
             adopt(id, status.term);
@@ -481,8 +515,8 @@
 
 void database_group::want_read_point() {
     proxy_instance* leader = primary();
-    if (leader == nullptr) {
-        survey();
+    if (leader == nullptr || !leader->is_usable()) {
+        want_replica_point();
         return;
     }
     ask_status(*leader);
@@ -491,6 +525,64 @@
     }
 }
 
+void database_group::want_replica_point() {
+    const time_point current = now();
+    if (replica_logs_since_ && current - *replica_logs_since_ < status_timeout) {
+        return;
+    }
+    replica_logs_since_ = current;
+    replica_logs_.clear();
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        if (entry.first != primary_id_) {
+            ask_status(*entry.second);
+        }
+    }
+}
+
+void database_group::on_replica_point(const std::string& id, const instance_status& status,
+                                      time_point sent_at) {
+    if (!replica_logs_since_ || sent_at < *replica_logs_since_) {
+        return;
+    }
+    replica_logs_.insert_or_assign(id, status.received);
+    log_position longest;
+    std::size_t replicas = 0;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        if (entry.first == primary_id_) {
+            continue;
+        }
+        const std::map<std::string, log_position>::iterator found = replica_logs_.find(entry.first);
+        if (found == replica_logs_.end()) {
+            return;
+        }
+        longest = std::max(longest, found->second);
+        ++replicas;
+    }
+    const time_point since = *replica_logs_since_;
+    replica_logs_since_.reset();
+    // A commit is acknowledged when one replica has received it, so the longest of all logs holds every one.
+    if (replicas >= min_replicas && rule_.sync_replicas > 0 &&
+        now() - members_changed_ >= membership_settles) {
+        replica_points_.add(longest, since);
+        pump();
+    }
+}
+
+void database_group::note_leader(bool serves) {
+    const time_point current = now();
+    if (!serves) {
+        if (!leaderless_since_) {
+            leaderless_since_ = current;
+        }
+        return;
+    }
+    if (leaderless_since_) {
+        const duration gap = std::clamp(current - *leaderless_since_, min_gap, max_gap);
+        expected_gap_ = (expected_gap_ + gap) / 2;
+        leaderless_since_.reset();
+    }
+}
+
 void database_group::ask_others() {
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
         if (entry.first != primary_id_) {
@@ -540,6 +632,7 @@
     }
     probe_primary(current);
     proxy_instance* leader = primary();
+    note_leader(leader != nullptr && leader->is_usable());
     if (leader != nullptr) {
         const std::optional<time_point> commit = leader->commit_waiting_since();
         if (commit) {
@@ -575,8 +668,11 @@
                        });
 }
 
-duration database_group::patience() const {
-    return duration(0);
+std::optional<time_point> database_group::primary_expected_at() const {
+    if (!leaderless_since_) {
+        return std::nullopt;
+    }
+    return *leaderless_since_ + expected_gap_;
 }
 
 bool database_group::may_start_second_read() {
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -105,8 +105,8 @@
     }
     /// True when at least one instance can take work.
     [[nodiscard]] bool is_reachable() const;
-    /// Least time that a statement waits although nothing can serve it at the moment.
-    [[nodiscard]] duration patience() const;
+    /// Moment by which a new primary is expected to serve; nothing while one serves.
+    [[nodiscard]] std::optional<time_point> primary_expected_at() const;
     /// Takes one from the budget of second reads.
     [[nodiscard]] bool may_start_second_read();
     /// Statements that wait for a connection.
@@ -133,7 +133,15 @@
     void adopt(const std::string& id, term_number term);
     void want_evidence();
     void want_read_point();
+    /// Asks every replica for the end of its log; the longest covers all acknowledged commits without the
+    /// primary.
+    void want_replica_point();
+    void on_replica_point(const std::string& id, const instance_status& status, time_point sent_at);
     void ask_others();
+    void note_leader(bool serves);
+    [[nodiscard]] std::optional<log_position> find_point(time_point oldest) const;
+    /// Places a read that must see every commit, while no primary serves.
+    [[nodiscard]] placement place_latest_read(const placement_query& query);
     void repeat_questions(time_point current);
     /// Moment at which the primary has to have been the only one, for a read there.
     [[nodiscard]] time_point trust_needed_at(const placement_query& query) const;
@@ -157,6 +165,11 @@
     term_number term_ = 0;
     primary_trust trust_;
     read_points points_;
+    /// Points from the logs of all replicas; they hold whoever leads.
+    read_points replica_points_;
+    std::map<std::string, log_position> replica_logs_;
+    std::optional<time_point> replica_logs_since_;
+    time_point members_changed_;
     primary_watch watch_;
 
     std::vector<std::shared_ptr<statement_task>> waiting_;
@@ -166,6 +179,9 @@
     /// Status calls under way, by instance.
     std::map<std::string, time_point> asked_;
     std::optional<time_point> evidence_wanted_;
+    /// Time from which the group has had no usable primary.
+    std::optional<time_point> leaderless_since_;
+    duration expected_gap_;
     time_point last_survey_;
     double second_read_budget_ = 0;
 };
--- a/gentianhill/proxy/instance_link.h
+++ b/gentianhill/proxy/instance_link.h
@@ -74,6 +74,8 @@
     rejected,
     lost,
     timed_out,
+    /// Ended by this process, since it was idle or its exchange was broken off.
+    closed_here,
 };
 
 /// One connection to an instance. Another package derives from it and fills the first group; destroying it
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -33,8 +33,11 @@
       counters_(registry),
       instance_watch_(collection::instances, ports_.store, log, settings.watch),
       configuration_watch_(collection::configuration, ports_.store, log, settings.watch),
-      lease_(ports_.store, log, settings.lease, settings.name, settings.incarnation) {
+      lease_(ports_.store, log, settings.lease, settings.name, settings.incarnation),
+      registry_(ports_.store, log, settings.registry, settings.name, settings.incarnation) {
     lease_.now = ports_.now;
+    registry_.now = ports_.now;
+    registry_.on_count = [this](std::size_t) { apply_rules(); };
     settings_.group.zone = settings.zone;
     for (collection_watch* watch : {&instance_watch_, &configuration_watch_}) {
         watch->call_after = ports_.call_after;
@@ -90,6 +93,7 @@
     if (instance_watch_.is_reachable()) {
         catalog_.expire(now);
     }
+    registry_.tick();
     const bool lease_used = std::any_of(
         drivers_.begin(), drivers_.end(),
         [](const std::map<std::string, std::unique_ptr<failover_driver>, std::less<>>::value_type& entry) {
@@ -186,11 +190,16 @@
     for (const auto& [name, rule] : routes_.current()->groups) {
         const auto found = groups_.find(name);
         if (found != groups_.end()) {
-            found->second->set_rule(rule, settings_.assumed_daemons);
+            found->second->set_rule(rule, daemon_count());
         }
     }
 }
 
+std::size_t proxy::daemon_count() const {
+    // Before the first list, and while daemons start, the setting keeps room for the others.
+    return std::max(settings_.assumed_daemons, registry_.count());
+}
+
 void proxy::list_instances(
     const std::string& group_name, const std::string& after,
     const std::shared_ptr<std::vector<listed_instance>>& found,
@@ -243,6 +252,7 @@
         return;
     }
     phase_ = stop_phase::leaving;
+    registry_.leave();
     stop_started_ = ports_.now();
     log_.write(log_level::info, "proxy", "stop_requested", {{"grace_ms", to_milliseconds(settings_.grace)}});
 }
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -6,6 +6,7 @@
 #include "gentianhill/metadata/collection_watch.h"
 #include "gentianhill/metadata/store_port.h"
 #include "gentianhill/proxy/client_session.h"
+#include "gentianhill/proxy/daemon_registry.h"
 #include "gentianhill/proxy/database_group.h"
 #include "gentianhill/proxy/failover_driver.h"
 #include "gentianhill/routing/instance_catalog.h"
@@ -38,6 +39,7 @@
     failover_settings failover;
     duty_lease_settings lease;
     collection_watch_settings watch;
+    daemon_registry_settings registry;
 };
 
 /// What a proxy needs of the packages around it.
@@ -108,6 +110,7 @@
                         const std::shared_ptr<std::vector<listed_instance>>& found,
                         const std::function<void(const std::optional<std::vector<listed_instance>>&)>& done);
     void advance_stop();
+    [[nodiscard]] std::size_t daemon_count() const;
 
     proxy_settings settings_;
     proxy_ports ports_;
@@ -118,6 +121,7 @@
     collection_watch instance_watch_;
     collection_watch configuration_watch_;
     duty_lease lease_;
+    daemon_registry registry_;
     failover_port failover_port_;
     std::map<std::string, std::unique_ptr<database_group>, std::less<>> groups_;
     std::map<std::string, std::unique_ptr<failover_driver>, std::less<>> drivers_;
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -54,10 +54,10 @@
 
 void proxy_instance::close_all() {
     while (!connections_.empty()) {
-        drop(*connections_.back(), link_end::lost);
+        drop(*connections_.back(), link_end::closed_here);
     }
     if (control_) {
-        drop(*control_, link_end::lost);
+        drop(*control_, link_end::closed_here);
     }
 }
 
@@ -230,7 +230,7 @@
         return;
     }
     if (connection.has_unanswered() || connection.state_ != transaction_state::idle) {
-        drop(connection, link_end::lost);
+        drop(connection, link_end::closed_here);
         return;
     }
     connection.used_ = false;
@@ -262,7 +262,7 @@
         open_pause_ = std::min(open_pause_ * 2, settings_.max_open_pause);
     }
     release(std::move(taken));
-    if (on_failure) {
+    if (on_failure && end != link_end::closed_here) {
         on_failure(*this, end);
     }
     if (on_capacity) {
@@ -290,6 +290,7 @@
         }
         control_ = open();
     }
+    control_->last_used_ = now();
     return control_->open_ ? control_.get() : nullptr;
 }
 
@@ -302,10 +303,15 @@
         if (!connection->open_ && current - connection->opened_at_ > settings_.open_timeout) {
             late.push_back(connection.get());
         }
+        const bool surplus = connections_.size() > settings_.max_connections + idle.size();
         if (connection->open_ && !connection->used_ &&
-            current - connection->last_used_ > settings_.idle_limit) {
+            (surplus || current - connection->last_used_ > settings_.idle_limit)) {
             idle.push_back(connection.get());
         }
+        const std::optional<time_point> unanswered = connection->waiting_since();
+        if (unanswered && current - *unanswered > settings_.answer_limit) {
+            late.push_back(connection.get());
+        }
     }
     if (control_ && !control_->open_ && current - control_->opened_at_ > settings_.open_timeout) {
         late.push_back(control_.get());
@@ -313,8 +319,18 @@
     for (pooled_connection* connection : late) {
         drop(*connection, link_end::timed_out);
     }
-    for (std::size_t extra = settings_.kept_idle; extra < idle.size(); ++extra) {
-        drop(*idle[extra], link_end::lost);
+    close_idle(idle);
+    if (control_ && control_->open_ && !control_->has_unanswered() &&
+        current - control_->last_used_ > settings_.control_idle_limit) {
+        drop(*control_, link_end::closed_here);
+    }
+}
+
+void proxy_instance::close_idle(const std::vector<pooled_connection*>& idle) {
+    const std::size_t open = connections_.size();
+    const std::size_t closable = open > settings_.kept_idle ? open - settings_.kept_idle : 0;
+    for (std::size_t closed = 0; closed < std::min(closable, idle.size()); ++closed) {
+        drop(*idle[closed], link_end::closed_here);
     }
 }
 
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -29,9 +29,14 @@
     /// First pause after a failed opening; it doubles up to `max_open_pause`.
     duration min_open_pause = std::chrono::milliseconds(60);
     duration max_open_pause = std::chrono::milliseconds(500);
-    /// Idle connections beyond `kept_idle` are closed after this time.
-    duration idle_limit = std::chrono::seconds(10);
-    std::size_t kept_idle = 2;
+    /// Idle connections beyond `kept_idle` are closed after this time. Few open connections leave room for
+    /// daemons that start again while the instance still holds the places of their earlier processes.
+    duration idle_limit = std::chrono::milliseconds(2000);
+    std::size_t kept_idle = 1;
+    /// The control connection is closed after this time without a question.
+    duration control_idle_limit = std::chrono::milliseconds(2500);
+    /// A connection whose answer is overdue for this time is given up; longer than any route's timeout.
+    duration answer_limit = std::chrono::seconds(5);
     /// Silence with unanswered commands after which an instance gets no new work while others can serve it.
     duration suspect_after = std::chrono::milliseconds(350);
 };
@@ -110,6 +115,7 @@
     void on_opened(pooled_connection& connection, const statement_result& greeting);
     void on_answer(command_kind kind, time_point sent_at, const instance_answer& answer);
     void record_latency(time_point sent_at);
+    void close_idle(const std::vector<pooled_connection*>& idle);
     void release(std::unique_ptr<pooled_connection> connection);
 
     listed_instance listed_;
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -293,16 +293,23 @@
     }
     refuse(outcome, "timeout of the route reached");
     for (const attempt_pointer& current : ended) {
-        current->connection->owner().drop(*current->connection, link_end::timed_out);
+        current->connection->owner().drop(*current->connection, link_end::closed_here);
     }
 }
 
 void statement_task::refuse_if_hopeless(time_point now) {
     const duration waited = now - waiting_since_;
     const bool hopeless = wait_reason_ != placement_wait::no_connection;
-    const duration limit = hopeless
-                               ? std::max(share_of(asked_.through->target, hopeless_share), group_.patience())
-                               : share_of(asked_.through->timeout, queue_share);
+    duration limit = share_of(asked_.through->timeout, queue_share);
+    if (hopeless) {
+        limit = share_of(asked_.through->target, hopeless_share);
+        const std::optional<time_point> expected = group_.primary_expected_at();
+        const time_point last = asked_.received_at + share_of(asked_.through->timeout, queue_share);
+        if (wait_reason_ == placement_wait::no_primary && expected) {
+            // Known at once: the statement is worth holding only when the next primary comes in time for it.
+            limit = *expected < last ? last - waiting_since_ : duration(0);
+        }
+    }
     if (waited >= limit) {
         refuse(is_transaction() ? statement_outcome::aborted : statement_outcome::busy,
                to_string(wait_reason_));
