Report a daemon that can serve nothing as not ready

Cause: in a zone that is cut off, daemons refused a quarter of all operations for the whole cut, since their replicas cannot be proven fresh; clients stayed with them.

Change: a group that has refused for 0.9 s for want of proof does not count as serving; a daemon without a serving group is not ready and, once the balancer has noticed, closes idle sessions. It keeps asking for proof and is ready again with the first one.

Ruled out: serving older data, which the routes do not allow.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -28,6 +28,10 @@
 constexpr duration membership_settles = 5s;
 /// Replicas that a group must have for their logs to stand for the primary's.
 constexpr std::size_t min_replicas = 2;
+/// Time of refusals after which a group counts as not serving.
+constexpr duration hopeless_limit = 900ms;
+/// A read point that is at most this old shows that a group serves reads again.
+constexpr duration proof_age = 500ms;
 /// Second reads as a share of all statements, so that they cannot multiply an overload.
 constexpr double second_read_ratio = 0.05;
 constexpr double second_read_capacity = 20.0;
@@ -640,6 +644,7 @@
         }
     }
     repeat_questions(current);
+    look_for_proof(current);
     tick_tasks(current);
     pump();
 }
@@ -661,13 +666,34 @@
     }
 }
 
-bool database_group::is_reachable() const {
+bool database_group::is_serving() const {
+    if (hopeless_since_ && now() - *hopeless_since_ > hopeless_limit) {
+        return false;
+    }
     return std::any_of(instances_.begin(), instances_.end(),
                        [](const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry) {
-                           return entry.second->connection_count() > 0 && entry.second->is_usable();
+                           return entry.second->is_usable();
                        });
 }
 
+void database_group::note_hopeless() {
+    if (!hopeless_since_) {
+        hopeless_since_ = now();
+    }
+}
+
+void database_group::look_for_proof(time_point current) {
+    if (!hopeless_since_) {
+        return;
+    }
+    // Without clients nothing else asks, so the group would never be found to serve again.
+    if (find_point(current - proof_age)) {
+        hopeless_since_.reset();
+    } else {
+        want_read_point();
+    }
+}
+
 std::optional<time_point> database_group::primary_expected_at() const {
     if (!leaderless_since_) {
         return std::nullopt;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -103,8 +103,11 @@
     [[nodiscard]] const std::map<std::string, std::unique_ptr<proxy_instance>>& instances() const {
         return instances_;
     }
-    /// True when at least one instance can take work.
-    [[nodiscard]] bool is_reachable() const;
+    /// True when at least one instance can take work, and statements have not been refused for long for want
+    /// of a primary or of a proof that reads are fresh.
+    [[nodiscard]] bool is_serving() const;
+    /// A statement was refused since nothing could serve it.
+    void note_hopeless();
     /// Moment by which a new primary is expected to serve; nothing while one serves.
     [[nodiscard]] std::optional<time_point> primary_expected_at() const;
     /// Takes one from the budget of second reads.
@@ -138,6 +141,7 @@
     void want_replica_point();
     void on_replica_point(const std::string& id, const instance_status& status, time_point sent_at);
     void ask_others();
+    void look_for_proof(time_point current);
     void note_leader(bool serves);
     [[nodiscard]] std::optional<log_position> find_point(time_point oldest) const;
     /// Places a read that must see every commit, while no primary serves.
@@ -182,6 +186,8 @@
     /// Time from which the group has had no usable primary.
     std::optional<time_point> leaderless_since_;
     duration expected_gap_;
+    /// First refusal for want of anything that could serve, since the last proof to the contrary.
+    std::optional<time_point> hopeless_since_;
     time_point last_survey_;
     double second_read_budget_ = 0;
 };
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -111,6 +111,8 @@
     }
     if (phase_ != stop_phase::running) {
         advance_stop();
+    } else {
+        send_clients_away(now);
     }
     ports_.call_after(tick_interval, [this, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired()) {
@@ -243,10 +245,25 @@
     return std::any_of(
         groups_.begin(), groups_.end(),
         [](const std::map<std::string, std::unique_ptr<database_group>, std::less<>>::value_type& entry) {
-            return entry.second->is_reachable();
+            return entry.second->is_serving();
         });
 }
 
+void proxy::send_clients_away(time_point now) {
+    if (!routes_.current() || groups_.empty() || is_ready()) {
+        unready_since_.reset();
+        return;
+    }
+    if (!unready_since_) {
+        unready_since_ = now;
+        log_.write(log_level::warning, "proxy", "not_serving", {{"groups", groups_.size()}});
+    }
+    // Once the balancer has noticed, clients that connect again reach a daemon that can serve them.
+    if (now - *unready_since_ > rotation_delay && on_close_idle) {
+        on_close_idle();
+    }
+}
+
 void proxy::stop() {
     if (phase_ != stop_phase::running) {
         return;
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -110,6 +110,8 @@
                         const std::shared_ptr<std::vector<listed_instance>>& found,
                         const std::function<void(const std::optional<std::vector<listed_instance>>&)>& done);
     void advance_stop();
+    /// Closes idle sessions of a daemon that has not been able to serve anything for some time.
+    void send_clients_away(time_point now);
     [[nodiscard]] std::size_t daemon_count() const;
 
     proxy_settings settings_;
@@ -128,7 +130,7 @@
     session_environment environment_;
     stop_phase phase_ = stop_phase::running;
     time_point stop_started_;
-    time_point next_expiry_;
+    std::optional<time_point> unready_since_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -311,6 +311,9 @@
         }
     }
     if (waited >= limit) {
+        if (hopeless && wait_reason_ != placement_wait::no_primary) {
+            group_.note_hopeless();
+        }
         refuse(is_transaction() ? statement_outcome::aborted : statement_outcome::busy,
                to_string(wait_reason_));
     }
