Promote only when no commit can rest on a replica that has left

Ruled out: a fixed time after a departure, since the cut can last longer; treating a leaving replica as a member for ever, since a primary that is lost then stays unreplaced.

Change: after a departure a group is unsettled until a remaining replica holds a position that the primary stated afterwards. The members on which commits may rest are recorded in the store, so that a daemon that starts later knows of a departure too. Answers that arrive after a proxy's end are dropped.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -24,8 +24,8 @@
 /// Bounds of what is learned from one gap; a longer one was held up by something else.
 constexpr duration min_gap = 400ms;
 constexpr duration max_gap = 3000ms;
-/// A replica that has gone may have been the only one with a commit; after this time the others have it too.
-constexpr duration membership_settles = 5s;
+/// Pause between questions whether the remaining replicas hold what a departed one may have held alone.
+constexpr duration settle_pause = 200ms;
 /// Replicas that a group must have for their logs to stand for the primary's.
 constexpr std::size_t min_replicas = 2;
 /// Time of refusals after which a group counts as not serving.
@@ -69,6 +69,7 @@
       watch_(settings.watch),
       expected_gap_(initial_gap) {
     watch_.reset(false, now());
+    settlement_.unsettle(now());
 }
 
 database_group::~database_group() {
@@ -92,6 +93,9 @@
         log_.write(log_level::info, "group", "instance_added",
                    {{"group", name_}, {"instance", listed.id}, {"zone", listed.zone}});
         set_rule(rule_, 0);
+        if (on_member_added) {
+            on_member_added();
+        }
     } else {
         found->second->update(listed);
     }
@@ -117,7 +121,7 @@
     instances_.erase(found);
     removed_.back()->close_all();
     asked_.erase(id);
-    members_changed_ = now();
+    settlement_.unsettle(now());
     if (id == primary_id_) {
         adopt("", term_);
     }
@@ -440,6 +444,15 @@
     const std::string& id = instance.listed().id;
     if (id != primary_id_) {
         on_replica_point(id, status, sent_at);
+        // A leaving replica will be gone in its turn.
+        if (!status.is_primary && !instance.listed().draining &&
+            settlement_.on_replica_position(status.received)) {
+            log_.write(log_level::info, "group", "members_settled",
+                       {{"group", name_}, {"instance", id}, {"position", status.received.position}});
+            if (on_settled) {
+                on_settled();
+            }
+        }
     }
     if (status.is_primary) {
         if (status.term > term_ || (status.term == term_ && primary_id_.empty())) {
@@ -447,6 +460,7 @@
         }
         if (id == primary_id_ && status.term == term_) {
             points_.add(status.received, sent_at);
+            settlement_.on_primary_position(status.received, sent_at);
             pump();
         }
         return;
@@ -565,8 +579,7 @@
     const time_point since = *replica_logs_since_;
     replica_logs_since_.reset();
     // A commit is acknowledged when one replica has received it, so the longest of all logs holds every one.
-    if (replicas >= min_replicas && rule_.sync_replicas > 0 &&
-        now() - members_changed_ >= membership_settles) {
+    if (replicas >= min_replicas && rule_.sync_replicas > 0 && settlement_.is_settled()) {
         replica_points_.add(longest, since);
         pump();
     }
@@ -644,6 +657,7 @@
         }
     }
     repeat_questions(current);
+    settle(current);
     look_for_proof(current);
     tick_tasks(current);
     pump();
@@ -682,6 +696,32 @@
     }
 }
 
+void database_group::settle(time_point current) {
+    proxy_instance* leader = primary();
+    if (settlement_.is_settled() || leader == nullptr || current - last_settle_question_ < settle_pause) {
+        return;
+    }
+    last_settle_question_ = current;
+    ask_status(*leader);
+    ask_others();
+}
+
+std::string database_group::primary_to_replace() const {
+    if (!primary_id_.empty()) {
+        return primary_id_;
+    }
+    std::string claimed;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        if (entry.second->listed().claims_primary) {
+            if (!claimed.empty()) {
+                return "";
+            }
+            claimed = entry.first;
+        }
+    }
+    return claimed;
+}
+
 void database_group::look_for_proof(time_point current) {
     if (!hopeless_since_) {
         return;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -2,6 +2,7 @@
 
 #include "gentianhill/core/logger.h"
 #include "gentianhill/core/metrics.h"
+#include "gentianhill/failover/membership_settlement.h"
 #include "gentianhill/failover/primary_watch.h"
 #include "gentianhill/freshness/primary_trust.h"
 #include "gentianhill/freshness/read_points.h"
@@ -66,6 +67,11 @@
     database_group(const database_group&) = delete;
     database_group& operator=(const database_group&) = delete;
 
+    /// The group's present members hold every acknowledged commit between them, so that this may be recorded.
+    std::function<void()> on_settled;
+    /// An instance has joined; from now on commits may rest on it.
+    std::function<void()> on_member_added;
+
     /// Adds an instance, or takes over a changed entry.
     void update_instance(const listed_instance& listed);
     /// The instance is gone.
@@ -95,6 +101,10 @@
 
     [[nodiscard]] const std::string& name() const { return name_; }
     [[nodiscard]] time_point now() const { return clock_(); }
+    /// True when no commit can rest on a replica that has left.
+    [[nodiscard]] bool is_settled() const { return settlement_.is_settled(); }
+    /// Current primary, or the one that the list names while none answers; empty when none is known.
+    [[nodiscard]] std::string primary_to_replace() const;
     /// Current primary; empty when none is known.
     [[nodiscard]] const std::string& primary_id() const { return primary_id_; }
     [[nodiscard]] term_number term() const { return term_; }
@@ -141,6 +151,7 @@
     void want_replica_point();
     void on_replica_point(const std::string& id, const instance_status& status, time_point sent_at);
     void ask_others();
+    void settle(time_point current);
     void look_for_proof(time_point current);
     void note_leader(bool serves);
     [[nodiscard]] std::optional<log_position> find_point(time_point oldest) const;
@@ -173,7 +184,8 @@
     read_points replica_points_;
     std::map<std::string, log_position> replica_logs_;
     std::optional<time_point> replica_logs_since_;
-    time_point members_changed_;
+    membership_settlement settlement_;
+    time_point last_settle_question_;
     primary_watch watch_;
 
     std::vector<std::shared_ptr<statement_task>> waiting_;
--- a/gentianhill/proxy/failover_driver.cpp
+++ b/gentianhill/proxy/failover_driver.cpp
@@ -1,5 +1,6 @@
 #include "gentianhill/proxy/failover_driver.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gentianhill {
@@ -37,9 +38,35 @@
                     {"verdict", to_string(verdict)},
                     {"silence_ms", to_milliseconds(group_.watch().silence(current))}});
     }
-    if (running_ == nullptr && may_start && current >= not_before_) {
+    if (running_ == nullptr && !asking_members_ && may_start && current >= not_before_) {
+        start_if_settled(verdict);
+    }
+}
+
+void failover_driver::start_if_settled(primary_verdict verdict) {
+    if (group_.is_settled()) {
         start(verdict);
+        return;
     }
+    asking_members_ = true;
+    port_.recorded_members(group_.name(),
+                           [this, verdict](const std::optional<std::vector<std::string>>& recorded) {
+                               asking_members_ = false;
+                               if (recorded && lists_all(*recorded)) {
+                                   start(verdict);
+                                   return;
+                               }
+                               not_before_ = group_.now() + settings_.retry_pause;
+                               log_.write(log_level::warning, "failover", "members_not_settled",
+                                          {{"group", group_.name()}, {"recorded", recorded.has_value()}});
+                           });
+}
+
+bool failover_driver::lists_all(const std::vector<std::string>& recorded) const {
+    const std::string old_primary = group_.primary_to_replace();
+    return std::all_of(recorded.begin(), recorded.end(), [this, &old_primary](const std::string& id) {
+        return id == old_primary || group_.instances().find(id) != group_.instances().end();
+    });
 }
 
 void failover_driver::start(primary_verdict verdict) {
@@ -59,7 +86,7 @@
     running_ =
         std::make_shared<fenced_promotion>(group_.name(), lease_, log_, settings_.promotion, make_hooks());
     const std::shared_ptr<fenced_promotion> started = running_;
-    started->start(std::move(members), group_.primary_id(), group_.term(), verdict, tolerate,
+    started->start(std::move(members), group_.primary_to_replace(), group_.term(), verdict, tolerate,
                    [this, alive = std::weak_ptr<bool>(alive_)](promotion_end end, const std::string& id) {
                        if (!alive.expired()) {
                            on_end(end, id);
--- a/gentianhill/proxy/failover_driver.h
+++ b/gentianhill/proxy/failover_driver.h
@@ -34,6 +34,10 @@
     std::function<void(const std::string& group,
                        std::function<void(const std::optional<std::vector<listed_instance>>&)> done)>
         list_instances;
+    /// Members that may hold the only copy of an acknowledged commit; nothing when that is not known.
+    std::function<void(const std::string& group,
+                       std::function<void(const std::optional<std::vector<std::string>>&)> done)>
+        recorded_members;
     std::function<void(duration delay, std::function<void()> action)> call_after;
 };
 
@@ -51,6 +55,8 @@
 
 private:
     void start(primary_verdict verdict);
+    void start_if_settled(primary_verdict verdict);
+    [[nodiscard]] bool lists_all(const std::vector<std::string>& recorded) const;
     [[nodiscard]] promotion_hooks make_hooks();
     void ask(const std::string& id, command_kind kind, term_number term,
              const promotion_hooks::answer_handler& done);
@@ -69,6 +75,7 @@
     std::optional<time_point> verdict_since_;
     primary_verdict last_verdict_ = primary_verdict::healthy;
     time_point not_before_;
+    bool asking_members_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/gentianhill/proxy/member_record.cpp
@@ -0,0 +1,77 @@
+#include "gentianhill/proxy/member_record.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace gentianhill {
+
+namespace {
+
+std::optional<std::vector<std::string>> members_of(const store_answer& answer) {
+    if (answer.outcome != store_outcome::done || !answer.object || !answer.object->content.is_array()) {
+        return std::nullopt;
+    }
+    std::vector<std::string> members;
+    for (const nlohmann::json& id : answer.object->content) {
+        if (!id.is_string()) {
+            return std::nullopt;
+        }
+        members.push_back(id.get<std::string>());
+    }
+    return members;
+}
+
+} // namespace
+
+member_record::member_record(store_port& store, logger& log, std::string group)
+    : store_(store), log_(log), group_(std::move(group)), object_name_("members-" + group_) {}
+
+void member_record::read(const members_handler& done) {
+    store_.get(collection::duties, object_name_,
+               [done](const store_answer& answer) { done(members_of(answer)); });
+}
+
+void member_record::add(const std::vector<std::string>& members) {
+    store_.get(collection::duties, object_name_, [this, members](const store_answer& answer) {
+        const std::optional<std::vector<std::string>> recorded = members_of(answer);
+        if (!recorded) {
+            return;
+        }
+        std::set<std::string> all(recorded->begin(), recorded->end());
+        all.insert(members.begin(), members.end());
+        if (all.size() > recorded->size()) {
+            // After a lost race the record may still lack these members.
+            write({all.begin(), all.end()}, answer.object->revision, [this, members] { add(members); });
+        }
+    });
+}
+
+void member_record::replace(const std::vector<std::string>& members) {
+    store_.get(collection::duties, object_name_, [this, members](const store_answer& answer) {
+        const bool missing = answer.outcome == store_outcome::not_found;
+        // Another daemon that has settled the same members has written them already.
+        if ((answer.outcome != store_outcome::done && !missing) || members_of(answer) == members) {
+            return;
+        }
+        write(members, answer.object ? answer.object->revision : 0, nullptr);
+    });
+}
+
+void member_record::write(const std::vector<std::string>& members, std::uint64_t revision,
+                          const std::function<void()>& on_conflict) {
+    stored_object object;
+    object.name = object_name_;
+    object.revision = revision;
+    object.content = members;
+    store_.put(
+        collection::duties, object, [this, count = members.size(), on_conflict](const store_answer& answer) {
+            log_.write(log_level::info, "failover", "members_recorded",
+                       {{"group", group_}, {"members", count}, {"outcome", to_string(answer.outcome)}});
+            if (answer.outcome == store_outcome::conflict && on_conflict) {
+                on_conflict();
+            }
+        });
+}
+
+} // namespace gentianhill
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -19,6 +19,61 @@
 /// Share of the grace time after which the process ends in any case.
 constexpr double end_share = 0.85;
 constexpr std::uint32_t stagger_positions = 5;
+/// Time from a new member's listing to its record; many are listed together at a start.
+constexpr duration record_delay = 100ms;
+
+std::vector<std::string> ids_of(const database_group& group) {
+    std::vector<std::string> ids;
+    for (const auto& entry : group.instances()) {
+        ids.push_back(entry.first);
+    }
+    return ids;
+}
+
+/// Handler that does nothing once the proxy is gone.
+template <typename... argument_types>
+std::function<void(argument_types...)> guarded(const std::weak_ptr<bool>& alive,
+                                               std::function<void(argument_types...)> handler) {
+    return [alive, handler = std::move(handler)](argument_types... arguments) {
+        if (!alive.expired()) {
+            handler(arguments...);
+        }
+    };
+}
+
+/// Calls of the ports whose answers arrive after the proxy has been destroyed are dropped.
+proxy_ports guard_ports(proxy_ports ports, const std::weak_ptr<bool>& alive) {
+    ports.call_after = [alive, call = ports.call_after](duration delay, std::function<void()> action) {
+        call(delay, guarded(alive, std::move(action)));
+    };
+    ports.promote = [alive, call = ports.promote](const std::string& group, const std::string& id,
+                                                  const std::string& holder, std::uint64_t token,
+                                                  std::function<void(promote_outcome)> done) {
+        call(group, id, holder, token, guarded(alive, std::move(done)));
+    };
+    store_port& store = ports.store;
+    store.list = [alive, call = store.list](collection which, const std::string& after,
+                                            store_port::handler done) {
+        call(which, after, guarded(alive, std::move(done)));
+    };
+    store.watch = [alive, call = store.watch](collection which, std::uint64_t revision, duration wait,
+                                              store_port::handler done) {
+        call(which, revision, wait, guarded(alive, std::move(done)));
+    };
+    store.get = [alive, call = store.get](collection which, const std::string& name,
+                                          store_port::handler done) {
+        call(which, name, guarded(alive, std::move(done)));
+    };
+    store.put = [alive, call = store.put](collection which, const stored_object& object,
+                                          store_port::handler done) {
+        call(which, object, guarded(alive, std::move(done)));
+    };
+    store.remove = [alive, call = store.remove](collection which, const std::string& name,
+                                                store_port::handler done) {
+        call(which, name, guarded(alive, std::move(done)));
+    };
+    return ports;
+}
 
 duration share_of(duration length, double share) {
     return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * share));
@@ -28,7 +83,7 @@
 
 proxy::proxy(const proxy_settings& settings, proxy_ports ports, logger& log, metrics& registry)
     : settings_(settings),
-      ports_(std::move(ports)),
+      ports_(guard_ports(std::move(ports), alive_)),
       log_(log),
       counters_(registry),
       instance_watch_(collection::instances, ports_.store, log, settings.watch),
@@ -69,6 +124,10 @@
                const std::function<void(const std::optional<std::vector<listed_instance>>&)>& done) {
             list_instances(group_name, "", std::make_shared<std::vector<listed_instance>>(), done);
         };
+    failover_port_.recorded_members = [this](const std::string& group_name,
+                                             const member_record::members_handler& done) {
+        member_records_.at(group_name)->read(done);
+    };
     environment_.find_route = [this](const std::string& database) { return routes_.find(database); };
     environment_.find_group = [this](const std::string& name) -> database_group* {
         const auto found = groups_.find(name);
@@ -80,7 +139,9 @@
     environment_.now = ports_.now;
 }
 
-proxy::~proxy() = default;
+proxy::~proxy() {
+    alive_.reset();
+}
 
 void proxy::start() {
     instance_watch_.start();
@@ -114,11 +175,7 @@
     } else {
         send_clients_away(now);
     }
-    ports_.call_after(tick_interval, [this, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired()) {
-            tick();
-        }
-    });
+    ports_.call_after(tick_interval, [this] { tick(); });
 }
 
 database_group& proxy::group(const std::string& name) {
@@ -129,6 +186,14 @@
     std::unique_ptr<database_group>& added = groups_[name];
     added =
         std::make_unique<database_group>(name, ports_.network, log_, counters_, settings_.group, ports_.now);
+    member_records_[name] = std::make_unique<member_record>(ports_.store, log_, name);
+    added->on_settled = [record = member_records_[name].get(), members = added.get()] {
+        record->replace(ids_of(*members));
+    };
+    added->on_member_added = [this, record = member_records_[name].get(), members = added.get()] {
+        // Once for all that are listed together.
+        ports_.call_after(record_delay, [record, members] { record->add(ids_of(*members)); });
+    };
     const std::uint32_t position =
         static_cast<std::uint32_t>(std::hash<std::string>{}(settings_.name + "/" + name) % stagger_positions);
     drivers_[name] =
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -9,6 +9,7 @@
 #include "gentianhill/proxy/daemon_registry.h"
 #include "gentianhill/proxy/database_group.h"
 #include "gentianhill/proxy/failover_driver.h"
+#include "gentianhill/proxy/member_record.h"
 #include "gentianhill/routing/instance_catalog.h"
 #include "gentianhill/routing/route_table.h"
 
@@ -114,6 +115,8 @@
     void send_clients_away(time_point now);
     [[nodiscard]] std::size_t daemon_count() const;
 
+    /// Before the ports, whose guards refer to it.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     proxy_settings settings_;
     proxy_ports ports_;
     logger& log_;
@@ -127,11 +130,11 @@
     failover_port failover_port_;
     std::map<std::string, std::unique_ptr<database_group>, std::less<>> groups_;
     std::map<std::string, std::unique_ptr<failover_driver>, std::less<>> drivers_;
+    std::map<std::string, std::unique_ptr<member_record>, std::less<>> member_records_;
     session_environment environment_;
     stop_phase phase_ = stop_phase::running;
     time_point stop_started_;
     std::optional<time_point> unready_since_;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace gentianhill
--- /dev/null
+++ b/tests/proxy/freshness_tests.cpp
@@ -0,0 +1,156 @@
+#include "simulated_deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace gentianhill;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct freshness_fixture {
+    simulated_deployment deployment{2};
+    std::map<std::string, std::vector<standins::model_entry>> seen;
+    std::map<std::string, std::string> ran_at;
+
+    freshness_fixture() {
+        deployment.service.on_read = [this](const standins::model_command& command,
+                                            const standins::model_connection& connection,
+                                            const std::vector<standins::model_entry>& log) {
+            seen[command.id] = log;
+            ran_at[command.id] = connection.instance;
+        };
+    }
+
+    [[nodiscard]] bool saw(const std::string& read, const std::string& write) const {
+        const auto found = seen.find(read);
+        return found != seen.end() &&
+               std::any_of(found->second.begin(), found->second.end(),
+                           [&write](const standins::model_entry& entry) { return entry.id == write; });
+    }
+};
+
+} // namespace
+
+// Guards against a session that does not see its own commit at a replica that lags.
+TEST_CASE_FIXTURE(freshness_fixture, "freshness_own_commit_is_seen_by_the_next_read") {
+    std::unique_ptr<simulated_client> client = deployment.connect(0, "own");
+    for (int round = 0; round < 30; ++round) {
+        const std::string write = client->send("WRITE a 1");
+        const std::string read = client->send("READ a");
+        deployment.run_for(100ms);
+        REQUIRE(client->outcome(write) == statement_outcome::done);
+        REQUIRE(client->outcome(read) == statement_outcome::done);
+        CHECK(saw(read, write));
+    }
+}
+
+// Guards against a latest read that misses a commit which another daemon has acknowledged.
+TEST_CASE_FIXTURE(freshness_fixture, "freshness_latest_read_sees_commits_of_other_daemons") {
+    std::unique_ptr<simulated_client> writer = deployment.connect(0, "own");
+    std::unique_ptr<simulated_client> reader = deployment.connect(1, "latest");
+    for (int round = 0; round < 30; ++round) {
+        const std::string write = writer->send("WRITE a 1");
+        deployment.run_for(50ms);
+        REQUIRE(writer->outcome(write) == statement_outcome::done);
+        const std::string read = reader->send("READ a");
+        deployment.run_for(50ms);
+        REQUIRE(reader->outcome(read) == statement_outcome::done);
+        CHECK(saw(read, write));
+    }
+}
+
+// Guards against a replica that is not used although it is fresh enough.
+TEST_CASE_FIXTURE(freshness_fixture, "freshness_bounded_reads_use_replicas") {
+    std::unique_ptr<simulated_client> client = deployment.connect(1, "bounded");
+    std::size_t at_replicas = 0;
+    for (int round = 0; round < 30; ++round) {
+        const std::string read = client->send("READ a");
+        deployment.run_for(50ms);
+        REQUIRE(client->outcome(read) == statement_outcome::done);
+        at_replicas += ran_at[read] != "i-1" ? 1U : 0U;
+    }
+    CHECK(at_replicas > 15);
+}
+
+// Guards against a daemon that goes on reading at a primary which was replaced behind its back.
+TEST_CASE_FIXTURE(freshness_fixture, "freshness_daemon_left_with_the_old_primary_serves_nothing_stale") {
+    // The daemon and the old primary are cut off together from the replicas and from the store.
+    for (const char* other : {"i-2", "i-3"}) {
+        deployment.service.set_cut("i-1", other, true);
+        deployment.cut(0, other, true);
+    }
+    deployment.cut(1, "i-1", true);
+    deployment.store.cut_hosts.insert(simulated_deployment::host_name(0));
+    std::unique_ptr<simulated_client> stranded = deployment.connect(0, "latest");
+    std::unique_ptr<simulated_client> writer = deployment.connect(1, "own");
+    std::string last_write;
+    std::size_t acknowledged = 0;
+    for (int round = 0; round < 160; ++round) {
+        const std::string write = writer->send("WRITE a 1");
+        const std::string read = stranded->send("READ a");
+        deployment.run_for(50ms);
+        if (!last_write.empty() && stranded->result(read) != nullptr &&
+            stranded->outcome(read) == statement_outcome::done) {
+            CHECK(saw(read, last_write));
+        }
+        if (writer->result(write) != nullptr && writer->outcome(write) == statement_outcome::done) {
+            last_write = write;
+            ++acknowledged;
+        }
+    }
+    CHECK(acknowledged > 20);
+    CHECK(deployment.service.violations().empty());
+}
+
+// Guards against reads that stop while no primary serves, although the replicas' logs prove what is
+// acknowledged.
+TEST_CASE_FIXTURE(freshness_fixture, "freshness_reads_go_on_while_the_primary_is_replaced") {
+    std::unique_ptr<simulated_client> writer = deployment.connect(0, "own");
+    const std::string write = writer->send("WRITE a 1");
+    deployment.run_for(200ms);
+    REQUIRE(writer->outcome(write) == statement_outcome::done);
+    deployment.service.set_up("i-1", false);
+    deployment.run_for(300ms);
+    std::unique_ptr<simulated_client> bounded = deployment.connect(1, "bounded");
+    std::unique_ptr<simulated_client> latest = deployment.connect(1, "latest");
+    std::size_t served = 0;
+    std::size_t asked = 0;
+    while (deployment.service.promotions() == 0 && asked < 200) {
+        for (simulated_client* client : {bounded.get(), latest.get()}) {
+            const std::string read = client->send("READ a");
+            deployment.run_for(50ms);
+            ++asked;
+            if (client->result(read) != nullptr && client->outcome(read) == statement_outcome::done) {
+                CHECK(saw(read, write));
+                ++served;
+            }
+        }
+    }
+    CHECK(served * 10 >= asked * 8);
+}
+
+// Guards against a host that wakes from a suspension and still trusts what it knew.
+TEST_CASE_FIXTURE(freshness_fixture, "freshness_daemon_that_was_suspended_trusts_nothing") {
+    std::unique_ptr<simulated_client> reader = deployment.connect(0, "latest");
+    reader->send("READ a");
+    deployment.run_for(100ms);
+    deployment.clock.freeze(simulated_deployment::host_name(0));
+    deployment.service.set_up("i-1", false);
+    std::unique_ptr<simulated_client> writer = deployment.connect(1, "own");
+    std::string last_write;
+    for (int round = 0; round < 80; ++round) {
+        const std::string write = writer->send("WRITE a 1");
+        deployment.run_for(50ms);
+        if (writer->result(write) != nullptr && writer->outcome(write) == statement_outcome::done) {
+            last_write = write;
+        }
+    }
+    REQUIRE(!last_write.empty());
+    deployment.clock.wake(simulated_deployment::host_name(0));
+    const std::string read = reader->send("READ a");
+    deployment.run_for(1s);
+    REQUIRE(reader->result(read) != nullptr);
+    CHECK((reader->outcome(read) != statement_outcome::done || saw(read, last_write)));
+}
--- /dev/null
+++ b/tests/proxy/simulated_deployment.cpp
@@ -0,0 +1,467 @@
+#include "simulated_deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianhill {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration network_delay = 1ms;
+constexpr duration store_delay = 4ms;
+constexpr duration call_timeout = 1200ms;
+constexpr duration watch_poll = 10ms;
+const std::string group_name = "orders";
+const std::string no_host;
+
+} // namespace
+
+void simulated_clock::call_after(duration delay, const std::string& host, std::function<void()> action) {
+    queue_.push({now_ + std::max(delay, duration(0)), ++last_order_, host, std::move(action)});
+}
+
+void simulated_clock::run_for(duration length) {
+    const time_point end = now_ + length;
+    while (!queue_.empty() && queue_.top().at <= end) {
+        entry next = queue_.top();
+        queue_.pop();
+        now_ = std::max(now_, next.at);
+        if (frozen_.count(next.host) > 0) {
+            constexpr duration freeze_poll = 5ms;
+            // Keeps the order of what the host does when it wakes.
+            next.at = now_ + freeze_poll;
+            queue_.push(std::move(next));
+            continue;
+        }
+        next.action();
+    }
+    now_ = end;
+}
+
+void simulated_store::answer(const std::string& host, const store_port::handler& done, store_answer result) {
+    clock_.call_after(store_delay, host, [done, result = std::move(result)] { done(result); });
+}
+
+void simulated_store::unanswered(const std::string& host, const store_port::handler& done) {
+    clock_.call_after(call_timeout, host, [done] { done({}); });
+}
+
+void simulated_store::write(collection which, const std::string& name, const nlohmann::json& content) {
+    stored_object& object = objects_[which][name];
+    object.name = name;
+    object.content = content;
+    object.revision = ++revision_;
+    history_.push_back({revision_, which, {object, false}});
+}
+
+void simulated_store::erase(collection which, const std::string& name) {
+    const std::map<std::string, stored_object>::iterator found = objects_[which].find(name);
+    if (found != objects_[which].end()) {
+        history_.push_back({++revision_, which, {found->second, true}});
+        objects_[which].erase(found);
+    }
+}
+
+std::optional<stored_object> simulated_store::find(collection which, const std::string& name) const {
+    const auto kind = objects_.find(which);
+    if (kind == objects_.end() || kind->second.find(name) == kind->second.end()) {
+        return std::nullopt;
+    }
+    return kind->second.at(name);
+}
+
+std::vector<store_event> simulated_store::events_after(collection which, std::uint64_t revision) const {
+    std::vector<store_event> events;
+    for (const change& entry : history_) {
+        if (entry.which == which && entry.revision > revision) {
+            events.push_back(entry.event);
+        }
+    }
+    return events;
+}
+
+store_answer simulated_store::put(collection which, const stored_object& object) {
+    store_answer result;
+    const std::optional<stored_object> present = find(which, object.name);
+    const bool matches = object.revision == 0 ? !present.has_value()
+                                              : present.has_value() && present->revision == object.revision;
+    if (!matches) {
+        result.outcome =
+            object.revision != 0 && !present ? store_outcome::not_found : store_outcome::conflict;
+        result.object = present;
+        return result;
+    }
+    write(which, object.name, object.content);
+    result.outcome = store_outcome::done;
+    result.object = find(which, object.name);
+    return result;
+}
+
+void simulated_store::watch(const std::string& host, collection which, std::uint64_t revision,
+                            time_point until, const store_port::handler& done) {
+    if (is_cut(host)) {
+        unanswered(host, done);
+        return;
+    }
+    std::vector<store_event> events = events_after(which, revision);
+    if (!events.empty() || clock_.now() >= until) {
+        store_answer result;
+        result.outcome = store_outcome::done;
+        result.events = std::move(events);
+        result.revision = revision_;
+        answer(host, done, std::move(result));
+        return;
+    }
+    clock_.call_after(watch_poll, no_host, [this, host, which, revision, until, done] {
+        watch(host, which, revision, until, done);
+    });
+}
+
+store_port simulated_store::make_port(const std::string& host) {
+    store_port port;
+    port.list = [this, host](collection which, const std::string&, const store_port::handler& done) {
+        ++calls;
+        if (is_cut(host)) {
+            unanswered(host, done);
+            return;
+        }
+        store_answer result;
+        result.outcome = store_outcome::done;
+        for (const auto& entry : objects_[which]) {
+            result.items.push_back(entry.second);
+        }
+        result.revision = revision_;
+        answer(host, done, std::move(result));
+    };
+    port.watch = [this, host](collection which, std::uint64_t revision, duration wait,
+                              const store_port::handler& done) {
+        ++calls;
+        watch(host, which, revision, clock_.now() + wait, done);
+    };
+    port.get = [this, host](collection which, const std::string& name, const store_port::handler& done) {
+        ++calls;
+        if (is_cut(host)) {
+            unanswered(host, done);
+            return;
+        }
+        store_answer result;
+        result.object = find(which, name);
+        result.outcome = result.object ? store_outcome::done : store_outcome::not_found;
+        answer(host, done, std::move(result));
+    };
+    port.put = [this, host](collection which, const stored_object& object, const store_port::handler& done) {
+        ++calls;
+        if (is_cut(host)) {
+            unanswered(host, done);
+            return;
+        }
+        store_answer result = put(which, object);
+        if (lost_answers > 0) {
+            --lost_answers;
+            unanswered(host, done);
+            return;
+        }
+        answer(host, done, std::move(result));
+    };
+    port.remove = [this, host](collection which, const std::string& name, const store_port::handler& done) {
+        ++calls;
+        if (!is_cut(host)) {
+            erase(which, name);
+        }
+        store_answer result;
+        result.outcome = store_outcome::done;
+        answer(host, done, std::move(result));
+    };
+    return port;
+}
+
+simulated_client::simulated_client(std::unique_ptr<client_session> session, simulated_clock& clock)
+    : session_(std::move(session)), clock_(clock) {
+    session_->on_answer = [this](const statement_result& result) {
+        REQUIRE(!order_.empty());
+        results_.emplace(order_.front(), result);
+        order_.erase(order_.begin());
+    };
+}
+
+std::string simulated_client::submit(statement next) {
+    static std::uint64_t last = 0;
+    next.id = "s" + std::to_string(++last);
+    sent_.push_back(next.id);
+    order_.push_back(next.id);
+    const std::string id = next.id;
+    session_->submit(std::move(next));
+    return id;
+}
+
+std::string simulated_client::send(const std::string& text) {
+    statement next;
+    next.text = text;
+    next.kind = text == "BEGIN"                ? statement_kind::begin
+                : text == "BEGIN READ"         ? statement_kind::begin_read
+                : text == "COMMIT"             ? statement_kind::commit
+                : text == "ROLLBACK"           ? statement_kind::rollback
+                : text.rfind("WRITE ", 0) == 0 ? statement_kind::write
+                : text.rfind("READ ", 0) == 0  ? statement_kind::read
+                                               : statement_kind::malformed;
+    return submit(std::move(next));
+}
+
+std::string simulated_client::execute(const std::string& name, const std::string& argument) {
+    statement next;
+    next.kind = statement_kind::execute;
+    next.name = name;
+    next.argument = argument;
+    return submit(std::move(next));
+}
+
+void simulated_client::prepare(const std::string& name, const std::string& shape, bool writes) {
+    statement next;
+    next.kind = statement_kind::prepare;
+    next.name = name;
+    next.argument = shape;
+    next.writes = writes;
+    submit(std::move(next));
+}
+
+void simulated_client::set(const std::string& name, const std::string& value) {
+    statement next;
+    next.kind = statement_kind::set_value;
+    next.name = name;
+    next.argument = value;
+    submit(std::move(next));
+}
+
+const statement_result* simulated_client::result(const std::string& id) const {
+    const std::map<std::string, statement_result>::const_iterator found = results_.find(id);
+    return found == results_.end() ? nullptr : &found->second;
+}
+
+statement_outcome simulated_client::outcome(const std::string& id) const {
+    REQUIRE(result(id) != nullptr);
+    return result(id)->outcome;
+}
+
+/// Connection of a proxy to an instance of the model, with the delay and the cuts of the network.
+class simulated_link : public instance_link {
+public:
+    simulated_link(simulated_deployment& deployment, std::size_t proxy, std::string id)
+        : deployment_(deployment), proxy_(proxy), id_(std::move(id)) {
+        send = [this](const instance_command& command) { deliver(standins::model_command(command)); };
+        later(2 * network_delay, [this] { connect(); });
+        later(poll, [this] { watch_instance(); });
+    }
+    ~simulated_link() override {
+        if (connection_ != nullptr) {
+            // A cut holds the end of the connection up; the instance rolls back in any case.
+            deployment_.service.close(connection_);
+        }
+    }
+
+private:
+    static constexpr duration poll = std::chrono::milliseconds(20);
+
+    void later(duration delay, std::function<void()> action) {
+        deployment_.clock.call_after(delay, simulated_deployment::host_name(proxy_),
+                                     [alive = std::weak_ptr<bool>(alive_), action = std::move(action)] {
+                                         if (!alive.expired()) {
+                                             action();
+                                         }
+                                     });
+    }
+
+    void connect() {
+        if (deployment_.is_cut(proxy_, id_)) {
+            return;
+        }
+        connection_ = deployment_.service.open(id_);
+        if (connection_ == nullptr) {
+            if (deployment_.service.is_up(id_)) {
+                on_open(make_refusal(statement_outcome::connection_limit, "full", transaction_state::idle));
+            } else {
+                on_end(link_end::refused);
+            }
+            return;
+        }
+        on_open({});
+    }
+
+    // A crash resets the connections of an instance, unless a cut hides it.
+    void watch_instance() {
+        const bool dead = connection_ != nullptr && !deployment_.service.is_up(id_);
+        if (dead && !deployment_.is_cut(proxy_, id_)) {
+            on_end(link_end::lost);
+            return;
+        }
+        later(poll, [this] { watch_instance(); });
+    }
+
+    void deliver(const standins::model_command& command) {
+        if (deployment_.is_cut(proxy_, id_)) {
+            return;
+        }
+        deployment_.clock.call_after(
+            network_delay, no_host, [this, alive = std::weak_ptr<bool>(alive_), command, held = connection_] {
+                // What was sent arrives, also when the sender has died meanwhile.
+                deployment_.service.handle(held, command, [this, alive](instance_answer answer) {
+                    if (!alive.expired() && !deployment_.is_cut(proxy_, id_)) {
+                        later(network_delay, [this, answer]() mutable { on_answer(answer); });
+                    }
+                });
+            });
+    }
+
+    simulated_deployment& deployment_;
+    std::size_t proxy_;
+    std::string id_;
+    std::shared_ptr<standins::model_connection> connection_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+simulated_deployment::simulated_deployment(std::size_t proxies) : store(clock), service({}) {
+    service.call_after = [this](duration delay, std::function<void()> action) {
+        clock.call_after(delay, no_host, std::move(action));
+    };
+    service.now = [this] { return clock.now(); };
+    for (const char* id : {"i-1", "i-2", "i-3"}) {
+        service.add(id);
+        list(id, false);
+    }
+    service.start();
+    configure(1);
+    hosts_.resize(proxies);
+    for (std::size_t proxy = 0; proxy < proxies; ++proxy) {
+        start(proxy);
+    }
+    // Longer than a group's membership takes to settle.
+    run_for(6s);
+}
+
+simulated_deployment::~simulated_deployment() {
+    for (std::size_t proxy = 0; proxy < hosts_.size(); ++proxy) {
+        kill(proxy);
+    }
+}
+
+void simulated_deployment::list(const std::string& id, bool draining) {
+    store.write(collection::instances, id, {{"primary", service.is_primary(id)}, {"draining", draining}});
+}
+
+void simulated_deployment::configure(std::uint64_t version, bool with_bounded) {
+    store.write(collection::configuration, "main", {{"version", version}, {"bounded", with_bounded}});
+}
+
+proxy_ports simulated_deployment::make_ports(std::size_t index) {
+    const std::string own_name = host_name(index);
+    proxy_ports ports;
+    ports.network.open = [this, index](const endpoint&, const std::string&, const std::string& id) {
+        ++opened_connections;
+        return std::make_unique<simulated_link>(*this, index, id);
+    };
+    ports.store = store.make_port(own_name);
+    ports.promote = [this, own_name](const std::string&, const std::string& id, const std::string& holder,
+                                     std::uint64_t token, const std::function<void(promote_outcome)>& done) {
+        promote_calls.emplace_back(holder, token);
+        const bool accepted = service.promote(id);
+        const bool lost = lost_promote_answers > 0;
+        lost_promote_answers -= lost ? 1 : 0;
+        clock.call_after(lost ? call_timeout : store_delay, own_name, [done, accepted, lost] {
+            done(lost       ? promote_outcome::unknown
+                 : accepted ? promote_outcome::accepted
+                            : promote_outcome::rejected);
+        });
+    };
+    ports.call_after = [this, own_name](duration delay, std::function<void()> action) {
+        clock.call_after(delay, own_name, std::move(action));
+    };
+    ports.read_configuration = [](const stored_object& object) -> std::optional<proxy_configuration> {
+        proxy_configuration configuration;
+        configuration.version = object.content.at("version").get<std::uint64_t>();
+        for (const auto& [database, rule] :
+             {std::pair{"latest", read_rule::latest}, std::pair{"bounded", read_rule::bounded_staleness},
+              std::pair{"own", read_rule::own_writes}}) {
+            if (rule == read_rule::bounded_staleness && !object.content.at("bounded").get<bool>()) {
+                continue;
+            }
+            std::shared_ptr<route> added = std::make_shared<route>();
+            added->name = database;
+            added->database = database;
+            added->group = group_name;
+            added->rule = rule;
+            added->timeout = 1000ms;
+            added->target = 200ms;
+            added->max_staleness = rule == read_rule::latest ? duration(0) : duration(1500ms);
+            configuration.routes.emplace(database, added);
+        }
+        configuration.groups[group_name] = {40, 1};
+        configuration.transaction_idle_limit = 3000ms;
+        return configuration;
+    };
+    ports.read_instance = [this](const stored_object& object) -> std::optional<listed_instance> {
+        listed_instance listed;
+        listed.id = object.name;
+        listed.group = group_name;
+        listed.address = {"10.0.0.1", 1};
+        listed.zone = object.name == "i-1" ? "a" : "b";
+        listed.slots = 4;
+        listed.claims_primary = object.content.at("primary").get<bool>();
+        listed.draining = object.content.at("draining").get<bool>();
+        return listed;
+    };
+    ports.now = [this] { return clock.now(); };
+    ports.random = [this] { return std::uniform_real_distribution<double>(0.0, 1.0)(random); };
+    return ports;
+}
+
+void simulated_deployment::start(std::size_t index) {
+    host& started = hosts_[index];
+    started.log = std::make_unique<logger>(log_settings{log_level::info, 1000, 1000});
+    started.log->now = [this] { return clock.now(); };
+    started.log->wall_clock_ms = [this] { return to_milliseconds(clock.now().time_since_epoch()); };
+    started.log->sink = [this, index](std::string_view line) {
+        log_lines.push_back(host_name(index) + " " + std::string(line));
+    };
+    started.registry = std::make_unique<metrics>();
+    proxy_settings settings;
+    settings.name = host_name(index);
+    settings.zone = index % 2 == 0 ? "a" : "b";
+    settings.incarnation = std::to_string(++started.incarnation);
+    started.served = std::make_unique<proxy>(settings, make_ports(index), *started.log, *started.registry);
+    started.served->start();
+}
+
+void simulated_deployment::kill(std::size_t index) {
+    hosts_[index].served.reset();
+}
+
+bool simulated_deployment::is_cut(std::size_t proxy, const std::string& instance) const {
+    return cuts_.count({proxy, instance}) > 0;
+}
+
+void simulated_deployment::cut(std::size_t proxy, const std::string& instance, bool is_cut) {
+    if (is_cut) {
+        cuts_.insert({proxy, instance});
+    } else {
+        cuts_.erase({proxy, instance});
+    }
+}
+
+std::unique_ptr<simulated_client> simulated_deployment::connect(std::size_t proxy,
+                                                                const std::string& database) {
+    std::unique_ptr<client_session> session = at(proxy).open_session(database);
+    REQUIRE(session != nullptr);
+    return std::make_unique<simulated_client>(std::move(session), clock);
+}
+
+void simulated_deployment::run_for(duration length) {
+    constexpr duration step = 25ms;
+    for (duration passed(0); passed < length; passed += step) {
+        clock.run_for(std::min(step, length - passed));
+    }
+}
+
+} // namespace gentianhill
