Treat a restart under the same id as a departure; test random failures in simulated time

Cause: an instance that starts again under its id holds nothing, so a commit that rested on it alone is gone, as with a departure.

Change: members are recorded with their start; a changed start unsettles the group; the promotion asks again whether the group is settled after it has listed the members and before the call.

Tests: a reborn replica with the only copy of a commit; random kills, freezes, cuts, crashes, store outages and lost answers with every read, confirmation and refusal checked.

--- a/gentianhill/failover/fenced_promotion.cpp
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -10,9 +10,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::array<std::string_view, 10> end_names{
-    "promoted",     "superseded", "replica_unreachable", "members_unknown", "still_replicating",
-    "duty_refused", "fence_lost", "tenure_over",         "call_rejected",   "outcome_unknown"};
+constexpr std::array<std::string_view, 11> end_names{
+    "promoted",          "superseded",    "replica_unreachable", "members_unknown",
+    "still_replicating", "duty_refused",  "members_not_settled", "fence_lost",
+    "tenure_over",       "call_rejected", "outcome_unknown"};
 
 /// Two statuses this far apart show whether a primary that cannot be reached from here still replicates.
 constexpr duration replication_check = 200ms;
@@ -157,6 +158,11 @@
                 self->finish(promotion_end::members_unknown);
                 return;
             }
+            // The list may tell of a departure or a restart that the watch has not reported yet.
+            if (!self->hooks_.is_settled()) {
+                self->finish(promotion_end::members_not_settled);
+                return;
+            }
             self->add_unknown_members(*listed);
             self->fence_all();
         });
@@ -218,6 +224,10 @@
             return;
         }
     }
+    if (!hooks_.is_settled()) {
+        finish(promotion_end::members_not_settled);
+        return;
+    }
     chosen_ = longest_replica();
     if (chosen_.empty()) {
         finish(promotion_end::replica_unreachable);
--- a/gentianhill/failover/fenced_promotion.h
+++ b/gentianhill/failover/fenced_promotion.h
@@ -51,6 +51,8 @@
     /// The primary still replicates.
     still_replicating,
     duty_refused,
+    /// A member has left, or has started again without its log.
+    members_not_settled,
     /// A replica restarted, or lost its fence, before the call.
     fence_lost,
     tenure_over,
@@ -90,6 +92,8 @@
     /// Lists the group's members as the store has them now.
     std::function<void(std::function<void(const std::optional<std::vector<promotion_member>>&)> done)>
         list_members;
+    /// True while no commit can rest on a member that has left or has started again without its log.
+    std::function<bool()> is_settled;
     std::function<void(const std::string& id, std::uint64_t token, std::function<void(promote_outcome)> done)>
         promote;
     std::function<void(duration delay, std::function<void()> action)> call_after;
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -97,6 +97,11 @@
             on_member_added();
         }
     } else {
+        if (listed.started_at_ms != found->second->listed().started_at_ms) {
+            log_.write(log_level::info, "group", "instance_restarted",
+                       {{"group", name_}, {"instance", listed.id}});
+            settlement_.unsettle(now());
+        }
         found->second->update(listed);
     }
     if (listed.id == primary_id_) {
@@ -706,6 +711,19 @@
     ask_others();
 }
 
+std::string database_group::member_key(const std::string& id) const {
+    const std::map<std::string, std::unique_ptr<proxy_instance>>::const_iterator found = instances_.find(id);
+    return found == instances_.end() ? id : id + "@" + std::to_string(found->second->listed().started_at_ms);
+}
+
+std::vector<std::string> database_group::member_keys() const {
+    std::vector<std::string> keys;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        keys.push_back(member_key(entry.first));
+    }
+    return keys;
+}
+
 std::string database_group::primary_to_replace() const {
     if (!primary_id_.empty()) {
         return primary_id_;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -103,6 +103,10 @@
     [[nodiscard]] time_point now() const { return clock_(); }
     /// True when no commit can rest on a replica that has left.
     [[nodiscard]] bool is_settled() const { return settlement_.is_settled(); }
+    /// Names a member together with its start, since a restart under the same id may have lost its log.
+    [[nodiscard]] std::string member_key(const std::string& id) const;
+    /// Keys of all members, in order.
+    [[nodiscard]] std::vector<std::string> member_keys() const;
     /// Current primary, or the one that the list names while none answers; empty when none is known.
     [[nodiscard]] std::string primary_to_replace() const;
     /// Current primary; empty when none is known.
--- a/gentianhill/proxy/failover_driver.cpp
+++ b/gentianhill/proxy/failover_driver.cpp
@@ -44,6 +44,7 @@
 }
 
 void failover_driver::start_if_settled(primary_verdict verdict) {
+    trusted_members_.clear();
     if (group_.is_settled()) {
         start(verdict);
         return;
@@ -53,6 +54,7 @@
                            [this, verdict](const std::optional<std::vector<std::string>>& recorded) {
                                asking_members_ = false;
                                if (recorded && lists_all(*recorded)) {
+                                   trusted_members_ = group_.member_keys();
                                    start(verdict);
                                    return;
                                }
@@ -63,9 +65,10 @@
 }
 
 bool failover_driver::lists_all(const std::vector<std::string>& recorded) const {
-    const std::string old_primary = group_.primary_to_replace();
-    return std::all_of(recorded.begin(), recorded.end(), [this, &old_primary](const std::string& id) {
-        return id == old_primary || group_.instances().find(id) != group_.instances().end();
+    const std::string old_primary = group_.member_key(group_.primary_to_replace());
+    const std::vector<std::string> present = group_.member_keys();
+    return std::all_of(recorded.begin(), recorded.end(), [&](const std::string& key) {
+        return key == old_primary || std::find(present.begin(), present.end(), key) != present.end();
     });
 }
 
@@ -121,6 +124,7 @@
             done(members);
         });
     };
+    hooks.is_settled = [this] { return group_.is_settled() || group_.member_keys() == trusted_members_; };
     hooks.promote = [this](const std::string& id, std::uint64_t token,
                            std::function<void(promote_outcome)> done) {
         port_.promote(group_.name(), id, token, std::move(done));
--- a/gentianhill/proxy/failover_driver.h
+++ b/gentianhill/proxy/failover_driver.h
@@ -76,6 +76,8 @@
     primary_verdict last_verdict_ = primary_verdict::healthy;
     time_point not_before_;
     bool asking_members_ = false;
+    /// Members that the record in the store vouches for, for the promotion under way.
+    std::vector<std::string> trusted_members_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/gentianhill/proxy/member_record.h
+++ b/gentianhill/proxy/member_record.h
@@ -11,9 +11,9 @@
 
 namespace gentianhill {
 
-/// Record in the metadata store of the members of a group that may hold the only copy of an acknowledged
-/// commit. It tells a daemon that starts later of departures that it has not seen: members are added when
-/// they join, and removed only when the remaining ones are known to hold everything.
+/// Record in the metadata store of the members of a group, by their keys, that may hold the only copy of an
+/// acknowledged commit. It tells a daemon that starts later of departures that it has not seen: members are
+/// added when they join, and removed only when the remaining ones are known to hold everything.
 class member_record {
 public:
     using members_handler = std::function<void(const std::optional<std::vector<std::string>>&)>;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -22,14 +22,6 @@
 /// Time from a new member's listing to its record; many are listed together at a start.
 constexpr duration record_delay = 100ms;
 
-std::vector<std::string> ids_of(const database_group& group) {
-    std::vector<std::string> ids;
-    for (const auto& entry : group.instances()) {
-        ids.push_back(entry.first);
-    }
-    return ids;
-}
-
 /// Handler that does nothing once the proxy is gone.
 template <typename... argument_types>
 std::function<void(argument_types...)> guarded(const std::weak_ptr<bool>& alive,
@@ -188,11 +180,11 @@
         std::make_unique<database_group>(name, ports_.network, log_, counters_, settings_.group, ports_.now);
     member_records_[name] = std::make_unique<member_record>(ports_.store, log_, name);
     added->on_settled = [record = member_records_[name].get(), members = added.get()] {
-        record->replace(ids_of(*members));
+        record->replace(members->member_keys());
     };
     added->on_member_added = [this, record = member_records_[name].get(), members = added.get()] {
         // Once for all that are listed together.
-        ports_.call_after(record_delay, [record, members] { record->add(ids_of(*members)); });
+        ports_.call_after(record_delay, [record, members] { record->add(members->member_keys()); });
     };
     const std::uint32_t position =
         static_cast<std::uint32_t>(std::hash<std::string>{}(settings_.name + "/" + name) % stagger_positions);
--- a/standins/replicated_service/service_model.cpp
+++ b/standins/replicated_service/service_model.cpp
@@ -126,6 +126,12 @@
             }
             continue;
         }
+        const std::map<std::string, std::size_t>::iterator known = leader.received.find(entry.first);
+        const bool up_to_date = known != leader.received.end() && known->second == leader.log.size() &&
+                                other.term == leader.term && other.log.size() == leader.log.size();
+        if (up_to_date) {
+            continue;
+        }
         call_after(settings_.replication,
                    [this, id, to = entry.first, log = leader.log, term = leader.term,
                     incarnation = other.incarnation] { receive(id, to, log, term, incarnation); });
--- a/tests/proxy/failover_tests.cpp
+++ b/tests/proxy/failover_tests.cpp
@@ -153,7 +153,7 @@
     for (int step = 0; step < 400 && deployment.service.fenced_term("i-3") == 0; ++step) {
         deployment.run_for(25ms);
     }
-    deployment.service.rebirth("i-3");
+    deployment.rebirth("i-3");
     deployment.run_for(8s);
     CHECK(deployment.service.violations().empty());
 }
@@ -263,3 +263,20 @@
     CHECK(time_to_write(0, failover_target) < failover_target);
     CHECK(deployment.service.violations().empty());
 }
+
+// Guards against a promotion after the only replica with a commit has started again without its log.
+TEST_CASE_FIXTURE(failover_fixture, "failover_replica_reborn_with_the_only_copy_waits_for_the_old_primary") {
+    deployment.service.set_cut("i-1", "i-2", true);
+    std::unique_ptr<simulated_client> client = deployment.connect(0, "own");
+    const std::string write = client->send("WRITE a 1");
+    deployment.run_for(500ms);
+    REQUIRE(client->outcome(write) == statement_outcome::done);
+    deployment.service.set_up("i-1", false);
+    deployment.rebirth("i-3");
+    deployment.run_for(10s);
+    CHECK(deployment.service.promotions() == 0);
+    deployment.service.set_cut("i-1", "i-2", false);
+    deployment.service.set_up("i-1", true);
+    CHECK(time_to_write(0, failover_target) < failover_target);
+    CHECK(deployment.service.violations().empty());
+}
--- /dev/null
+++ b/tests/proxy/random_failure_tests.cpp
@@ -0,0 +1,288 @@
+#include "simulated_deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+using namespace gentianhill;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Seeds played in CI; GENTIANHILL_SEEDS plays more by hand, GENTIANHILL_FIRST_SEED starts elsewhere.
+constexpr int default_seeds = 12;
+
+int number_from_environment(const char* name, int fallback) {
+    const char* text = std::getenv(name);
+    return text == nullptr ? fallback : std::atoi(text);
+}
+
+/// Clients that read and write without a pause, and what they may expect of each answer.
+class random_day {
+public:
+    explicit random_day(std::uint64_t seed) : random_(seed) {
+        deployment_.service.on_read =
+            [this](const standins::model_command& command, const standins::model_connection&,
+                   const std::vector<standins::model_entry>& log) { check_read(command.id, log); };
+    }
+
+    void play() {
+        connect_all();
+        for (int step = 0; step < steps; ++step) {
+            if (step % steps_per_fault == 0 && step < last_fault_step) {
+                strike();
+            }
+            if (step == last_fault_step) {
+                heal();
+            }
+            speak();
+            deployment_.run_for(25ms);
+            collect();
+        }
+    }
+
+    void check() {
+        for (const std::string& violation : deployment_.service.violations()) {
+            FAIL_CHECK(violation);
+        }
+        for (const std::string& finding : findings_) {
+            FAIL_CHECK(finding);
+        }
+        CHECK(served_at_the_end_ > 0);
+    }
+
+private:
+    struct open_read {
+        time_point sent_at;
+        read_rule rule = read_rule::latest;
+        std::vector<std::string> own_writes;
+    };
+    struct speaker {
+        std::size_t proxy = 0;
+        read_rule rule = read_rule::latest;
+        std::unique_ptr<simulated_client> client;
+        std::string waiting;
+        bool writes = false;
+        std::vector<std::string> own_writes;
+    };
+
+    static constexpr int steps = 1600;
+    static constexpr int steps_per_fault = 24;
+    static constexpr int last_fault_step = 1000;
+    static constexpr std::size_t proxies = 3;
+    static constexpr duration staleness = std::chrono::milliseconds(1500);
+
+    std::size_t pick(std::size_t count) {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+    }
+
+    std::string pick_instance() { return std::vector<std::string>{"i-1", "i-2", "i-3"}[pick(3)]; }
+
+    void connect_all() {
+        for (std::size_t proxy = 0; proxy < proxies; ++proxy) {
+            for (const read_rule rule :
+                 {read_rule::latest, read_rule::bounded_staleness, read_rule::own_writes}) {
+                speakers_.push_back({proxy, rule, nullptr, "", false, {}});
+            }
+        }
+    }
+
+    void drop_clients(std::size_t proxy) {
+        for (speaker& each : speakers_) {
+            if (each.proxy == proxy) {
+                each.client.reset();
+                each.waiting.clear();
+                each.own_writes.clear();
+            }
+        }
+    }
+
+    void strike() {
+        const std::size_t proxy = pick(proxies);
+        const std::string host = simulated_deployment::host_name(proxy);
+        const std::string instance = pick_instance();
+        switch (pick(12)) {
+        case 0:
+            deployment_.service.set_up(instance, !deployment_.service.is_up(instance));
+            break;
+        case 1:
+            if (deployment_.runs(proxy)) {
+                drop_clients(proxy);
+                deployment_.kill(proxy);
+            } else {
+                deployment_.start(proxy);
+            }
+            break;
+        case 2:
+            deployment_.clock.freeze(host);
+            break;
+        case 3:
+            deployment_.clock.wake(host);
+            break;
+        case 4:
+            deployment_.cut(proxy, instance, true);
+            break;
+        case 5:
+            deployment_.cut(proxy, instance, false);
+            break;
+        case 6:
+            deployment_.service.set_cut(instance, pick_instance(), true);
+            break;
+        case 7:
+            deployment_.service.set_cut(instance, pick_instance(), false);
+            break;
+        case 8:
+            deployment_.store.is_down = !deployment_.store.is_down;
+            break;
+        case 9:
+            deployment_.store.lost_answers = 2;
+            break;
+        case 10:
+            deployment_.lost_promote_answers = 1;
+            break;
+        default:
+            heal();
+            break;
+        }
+        relist();
+    }
+
+    void heal() {
+        deployment_.store.is_down = false;
+        for (std::size_t proxy = 0; proxy < proxies; ++proxy) {
+            deployment_.clock.wake(simulated_deployment::host_name(proxy));
+            if (!deployment_.runs(proxy)) {
+                deployment_.start(proxy);
+            }
+            for (const std::string& instance : deployment_.service.ids()) {
+                deployment_.cut(proxy, instance, false);
+            }
+        }
+        for (const std::string& a : deployment_.service.ids()) {
+            deployment_.service.set_up(a, true);
+            for (const std::string& b : deployment_.service.ids()) {
+                deployment_.service.set_cut(a, b, false);
+            }
+        }
+    }
+
+    // The instances say who leads; the list keeps what it last heard.
+    void relist() {
+        for (const std::string& id : deployment_.service.ids()) {
+            const std::optional<stored_object> listed = deployment_.store.find(collection::instances, id);
+            if (!deployment_.store.is_down && deployment_.service.is_up(id) &&
+                listed->content.at("primary") != deployment_.service.is_primary(id)) {
+                deployment_.list(id, false);
+            }
+        }
+    }
+
+    void speak() {
+        for (speaker& each : speakers_) {
+            const bool frozen = deployment_.clock.is_frozen(simulated_deployment::host_name(each.proxy));
+            if (!deployment_.runs(each.proxy) || frozen || !each.waiting.empty() ||
+                !deployment_.at(each.proxy).has_configuration()) {
+                continue;
+            }
+            if (each.client == nullptr) {
+                const std::string database = each.rule == read_rule::latest              ? "latest"
+                                             : each.rule == read_rule::bounded_staleness ? "bounded"
+                                                                                         : "own";
+                each.client = deployment_.connect(each.proxy, database);
+            }
+            each.writes = pick(3) == 0;
+            if (!each.writes) {
+                // Recorded first: the read may run before send() returns.
+                next_read_ = {deployment_.clock.now(), each.rule, each.own_writes};
+            }
+            each.waiting = each.client->send(each.writes ? "WRITE a 1" : "READ a");
+            if (!each.writes) {
+                reads_[each.waiting] = next_read_;
+            }
+        }
+    }
+
+    void collect() {
+        for (speaker& each : speakers_) {
+            const statement_result* result =
+                each.client == nullptr || each.waiting.empty() ? nullptr : each.client->result(each.waiting);
+            if (result == nullptr) {
+                continue;
+            }
+            const bool done = result->outcome == statement_outcome::done;
+            if (each.writes) {
+                collect_write(each, *result);
+            } else if (done && stale_.count(each.waiting) > 0) {
+                findings_.push_back("stale read " + each.waiting + ": " + stale_[each.waiting]);
+            }
+            served_at_the_end_ += done && deployment_.clock.now() > end_of_faults() ? 1U : 0U;
+            each.waiting.clear();
+        }
+    }
+
+    void collect_write(speaker& each, const statement_result& result) {
+        if (result.outcome == statement_outcome::done) {
+            each.own_writes.push_back(each.waiting);
+            if (deployment_.service.acknowledged().count(each.waiting) == 0) {
+                findings_.push_back("write " + each.waiting + " is confirmed but not acknowledged");
+            }
+        } else if (result.outcome != statement_outcome::in_doubt &&
+                   result.outcome != statement_outcome::timed_out &&
+                   deployment_.service.acknowledged().count(each.waiting) > 0) {
+            findings_.push_back("write " + each.waiting + " is refused as not run but acknowledged");
+        }
+    }
+
+    [[nodiscard]] static time_point end_of_faults() {
+        return time_point{} + 100s + 6s + (last_fault_step + 400) * duration(25ms);
+    }
+
+    // The worst run counts: a read with two attempts is answered with one of them, so both have to be right.
+    void check_read(const std::string& id, const std::vector<standins::model_entry>& log) {
+        const std::map<std::string, open_read>::iterator found = reads_.find(id);
+        if (found == reads_.end()) {
+            return;
+        }
+        const open_read& read = found->second;
+        const duration allowed = read.rule == read_rule::latest ? duration(0) : staleness;
+        std::set<std::string> held;
+        for (const standins::model_entry& entry : log) {
+            held.insert(entry.id);
+        }
+        for (const auto& commit : deployment_.service.acknowledged()) {
+            if (commit.second < read.sent_at - allowed && held.count(commit.first) == 0) {
+                stale_[id] = "lacks " + commit.first;
+            }
+        }
+        for (const std::string& own : read.own_writes) {
+            if (read.rule == read_rule::own_writes && held.count(own) == 0) {
+                stale_[id] = "lacks its own " + own;
+            }
+        }
+    }
+
+    std::mt19937_64 random_;
+    simulated_deployment deployment_{proxies};
+    std::vector<speaker> speakers_;
+    std::map<std::string, open_read> reads_;
+    open_read next_read_;
+    std::map<std::string, std::string> stale_;
+    std::vector<std::string> findings_;
+    std::size_t served_at_the_end_ = 0;
+};
+
+} // namespace
+
+// Guards against combinations of failures that no single test brings about: kills, freezes, cuts, crashes, an
+// unreachable store and lost answers, at random moments of one minute.
+TEST_CASE("random_failures_every_promise_holds") {
+    const int first = number_from_environment("GENTIANHILL_FIRST_SEED", 1);
+    const int seeds = number_from_environment("GENTIANHILL_SEEDS", default_seeds);
+    for (int seed = first; seed < first + seeds; ++seed) {
+        CAPTURE(seed);
+        random_day day(static_cast<std::uint64_t>(seed));
+        day.play();
+        day.check();
+    }
+}
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -348,7 +348,15 @@
 }
 
 void simulated_deployment::list(const std::string& id, bool draining) {
-    store.write(collection::instances, id, {{"primary", service.is_primary(id)}, {"draining", draining}});
+    store.write(
+        collection::instances, id,
+        {{"primary", service.is_primary(id)}, {"draining", draining}, {"started_at_ms", started_at_ms_[id]}});
+}
+
+void simulated_deployment::rebirth(const std::string& id) {
+    service.rebirth(id);
+    started_at_ms_[id] = to_milliseconds(clock.now().time_since_epoch());
+    list(id, false);
 }
 
 void simulated_deployment::configure(std::uint64_t version, bool with_bounded) {
@@ -410,6 +418,7 @@
         listed.slots = 4;
         listed.claims_primary = object.content.at("primary").get<bool>();
         listed.draining = object.content.at("draining").get<bool>();
+        listed.started_at_ms = object.content.at("started_at_ms").get<std::int64_t>();
         return listed;
     };
     ports.now = [this] { return clock.now(); };
--- a/tests/proxy/simulated_deployment.h
+++ b/tests/proxy/simulated_deployment.h
@@ -137,6 +137,8 @@
     void cut(std::size_t proxy, const std::string& instance, bool is_cut);
     /// Writes an instance's entry as the instance would.
     void list(const std::string& id, bool draining);
+    /// Starts an instance again under its id, without its log, and lists it.
+    void rebirth(const std::string& id);
     void unlist(const std::string& id) { store.erase(collection::instances, id); }
     /// Writes the configuration with a version.
     void configure(std::uint64_t version, bool with_bounded = true);
@@ -166,6 +168,7 @@
 
     std::vector<host> hosts_;
     std::set<std::pair<std::size_t, std::string>> cuts_;
+    std::map<std::string, std::int64_t> started_at_ms_;
 };
 
 } // namespace gentianhill
