--- a/standins/replicated_service/service_model.cpp
+++ b/standins/replicated_service/service_model.cpp
@@ -189,6 +189,7 @@
                 fmt::format("commit {} acknowledged by superseded primary {}", front.id, id));
         }
         acknowledged_.emplace(front.id, now());
+        in_order_.push_back({front.id, now(), front.length - 1});
         const waiting_commit done = std::move(leader.waiting.front());
         leader.waiting.pop_front();
         leader.applied = std::max(leader.applied, done.length);
--- a/standins/replicated_service/service_model.h
+++ b/standins/replicated_service/service_model.h
@@ -28,6 +28,13 @@
     std::size_t max_connections = 40;
 };
 
+/// Acknowledged commit, with its place in the log, which no promotion changes.
+struct model_acknowledgement {
+    std::string id;
+    time_point at;
+    std::size_t index = 0;
+};
+
 /// One committed change.
 struct model_entry {
     /// Statement, or commit, that wrote it.
@@ -108,6 +115,8 @@
     [[nodiscard]] std::vector<std::string> ids() const;
     /// Acknowledged commits with the time of their acknowledgement.
     [[nodiscard]] const std::map<std::string, time_point>& acknowledged() const { return acknowledged_; }
+    /// The same in the order of their acknowledgement.
+    [[nodiscard]] const std::vector<model_acknowledgement>& acknowledgements() const { return in_order_; }
     /// What was found to be broken; empty while all holds.
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
     /// Promotions that have taken effect.
@@ -157,6 +166,7 @@
     std::map<std::string, instance> instances_;
     std::set<std::pair<std::string, std::string>> cuts_;
     std::map<std::string, time_point> acknowledged_;
+    std::vector<model_acknowledgement> in_order_;
     std::vector<std::string> violations_;
     term_number newest_term_ = 1;
     std::size_t promotions_ = 0;
--- /dev/null
+++ b/tests/failover/duty_lease_tests.cpp
@@ -0,0 +1,151 @@
+#include "gentianhill/failover/duty_lease.h"
+
+#include <doctest/doctest.h>
+
+using namespace gentianhill;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store with one object, whose answers the test gives.
+struct lease_fixture {
+    time_point current{100s};
+    std::optional<stored_object> object;
+    std::uint64_t revision = 10;
+    bool lose_next_answer = false;
+    store_port store;
+    logger log;
+
+    lease_fixture() {
+        log.sink = [](std::string_view) {};
+        store.get = [this](collection, const std::string&, const store_port::handler& done) {
+            store_answer answer;
+            answer.object = object;
+            answer.outcome = object ? store_outcome::done : store_outcome::not_found;
+            done(answer);
+        };
+        store.put = [this](collection, const stored_object& written, const store_port::handler& done) {
+            store_answer answer;
+            if (written.revision != (object ? object->revision : 0)) {
+                answer.outcome = store_outcome::conflict;
+                done(answer);
+                return;
+            }
+            object = written;
+            object->revision = ++revision;
+            answer.outcome = lose_next_answer ? store_outcome::unknown : store_outcome::done;
+            answer.object = lose_next_answer ? std::nullopt : object;
+            lose_next_answer = false;
+            done(answer);
+        };
+    }
+
+    std::unique_ptr<duty_lease> make(const std::string& holder, const std::string& incarnation,
+                                     const duty_lease_settings& settings = {}) {
+        std::unique_ptr<duty_lease> lease =
+            std::make_unique<duty_lease>(store, log, settings, holder, incarnation);
+        lease->now = [this] { return current; };
+        return lease;
+    }
+
+    static std::optional<std::uint64_t> claim(duty_lease& lease, claim_refusal* refusal = nullptr) {
+        std::optional<std::uint64_t> granted;
+        lease.claim("test", [&](std::optional<std::uint64_t> token, claim_refusal reason) {
+            granted = token;
+            if (refusal != nullptr) {
+                *refusal = reason;
+            }
+        });
+        return granted;
+    }
+};
+
+} // namespace
+
+// Guards against two holders at the same time.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_held_by_another_is_refused_until_it_is_released") {
+    const std::unique_ptr<duty_lease> first = make("a", "1");
+    const std::unique_ptr<duty_lease> second = make("b", "1");
+    REQUIRE(claim(*first));
+    claim_refusal refusal = claim_refusal::none;
+    CHECK(!claim(*second, &refusal));
+    CHECK(refusal == claim_refusal::held_by_other);
+    first->release();
+    const std::optional<std::uint64_t> token = claim(*second);
+    REQUIRE(token);
+    CHECK(*token > first->token());
+}
+
+// Guards against a holder that acts after its tenure, and against a takeover before it has ended.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_tenure_ends_before_another_may_take_over") {
+    const std::unique_ptr<duty_lease> first = make("a", "1");
+    const std::unique_ptr<duty_lease> second = make("b", "1");
+    REQUIRE(claim(*first));
+    const time_point claimed = current;
+    CHECK(!claim(*second));
+    while (first->is_held()) {
+        CHECK(!claim(*second));
+        current += 100ms;
+    }
+    CHECK(current - claimed == duty_lease_settings{}.tenure);
+    CHECK(!claim(*second));
+    current = claimed + duty_lease_settings{}.takeover_after;
+    CHECK(claim(*second));
+    CHECK(!first->is_held());
+}
+
+// Guards against a claim that took effect although its answer was lost, and is then held by nobody.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_lost_answer_is_read_back") {
+    const std::unique_ptr<duty_lease> lease = make("a", "1");
+    lose_next_answer = true;
+    const std::optional<std::uint64_t> token = claim(*lease);
+    REQUIRE(token);
+    CHECK(*token == object->revision);
+    CHECK(lease->is_held());
+}
+
+// Guards against a token that falls when the object was removed in between.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_token_rises_over_a_deleted_object") {
+    const std::unique_ptr<duty_lease> lease = make("a", "1");
+    const std::optional<std::uint64_t> first = claim(*lease);
+    object.reset();
+    const std::optional<std::uint64_t> second = claim(*lease);
+    REQUIRE(first);
+    REQUIRE(second);
+    CHECK(*second > *first);
+}
+
+// Guards against a restarted process that waits for its own earlier claim, and against one token for both.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_restart_under_the_same_name_claims_at_once_with_a_new_token") {
+    const std::unique_ptr<duty_lease> before = make("a", "1");
+    const std::optional<std::uint64_t> first = claim(*before);
+    const std::unique_ptr<duty_lease> after = make("a", "2");
+    const std::optional<std::uint64_t> second = claim(*after);
+    REQUIRE(first);
+    REQUIRE(second);
+    CHECK(*second > *first);
+}
+
+// Guards against turns that follow each other more closely than the platform allows.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_turn_of_another_waits_for_the_spacing") {
+    duty_lease_settings settings;
+    settings.turn_spacing = 3s;
+    const std::unique_ptr<duty_lease> first = make("a", "1", settings);
+    const std::unique_ptr<duty_lease> second = make("b", "1", settings);
+    REQUIRE(claim(*first));
+    first->release();
+    claim_refusal refusal = claim_refusal::none;
+    CHECK(!claim(*second, &refusal));
+    CHECK(refusal == claim_refusal::spacing);
+    current += 3s;
+    CHECK(claim(*second));
+}
+
+// Guards against an object of another writer that cannot be read being taken for free.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_object_that_cannot_be_read_counts_as_held") {
+    object = stored_object{"failover", 7, nlohmann::json::array({1, 2})};
+    const std::unique_ptr<duty_lease> lease = make("a", "1");
+    claim_refusal refusal = claim_refusal::none;
+    CHECK(!claim(*lease, &refusal));
+    CHECK(refusal == claim_refusal::held_by_other);
+}
--- /dev/null
+++ b/tests/failover/primary_watch_tests.cpp
@@ -0,0 +1,67 @@
+#include "gentianhill/failover/membership_settlement.h"
+#include "gentianhill/failover/primary_watch.h"
+
+#include <doctest/doctest.h>
+
+using namespace gentianhill;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct watch_fixture {
+    primary_watch_settings settings;
+    primary_watch watch{settings};
+    time_point start{10s};
+
+    watch_fixture() { watch.reset(true, start); }
+};
+
+} // namespace
+
+// Guards against a promotion because of one connection that broke.
+TEST_CASE_FIXTURE(watch_fixture, "primary_watch_one_failure_is_no_verdict") {
+    watch.on_failure(true, start);
+    CHECK(watch.verdict(start + 10s) == primary_verdict::healthy);
+    watch.on_failure(true, start + 10ms);
+    CHECK(watch.verdict(start + settings.refused_limit) == primary_verdict::unreachable);
+}
+
+// Guards against a loaded primary that answers statements, though not the probe, being replaced.
+TEST_CASE_FIXTURE(watch_fixture, "primary_watch_any_answer_clears_the_failures") {
+    watch.on_failure(false, start + 100ms);
+    watch.on_answer(start + 650ms);
+    watch.on_failure(false, start + 700ms);
+    CHECK(watch.verdict(start + 5s) == primary_verdict::healthy);
+}
+
+// Guards against a primary that answers reads while none of its commits is acknowledged.
+TEST_CASE_FIXTURE(watch_fixture, "primary_watch_commit_without_acknowledgement_is_noticed") {
+    watch.on_answer(start + 1s);
+    watch.on_commit_waiting(start, start + settings.commit_limit);
+    CHECK(watch.verdict(start + 1s) == primary_verdict::not_committing);
+    watch.on_commit_acknowledged(start + 1s);
+    CHECK(watch.verdict(start + 1s) == primary_verdict::healthy);
+}
+
+// Guards against one slow commit being taken for a primary that does not commit.
+TEST_CASE_FIXTURE(watch_fixture, "primary_watch_slow_commit_that_others_overtake_is_no_verdict") {
+    watch.on_commit_acknowledged(start + 500ms);
+    watch.on_answer(start + 2s);
+    watch.on_commit_waiting(start, start + 2s);
+    CHECK(watch.verdict(start + 2s) == primary_verdict::healthy);
+}
+
+// Guards against a departed replica that took the only copy of a commit with it.
+TEST_CASE("membership_settlement_needs_a_position_stated_after_the_departure") {
+    membership_settlement settlement;
+    settlement.unsettle(time_point{10s});
+    settlement.on_primary_position({1, 5}, time_point{9s});
+    CHECK(!settlement.on_replica_position({1, 9}));
+    settlement.on_primary_position({1, 8}, time_point{11s});
+    CHECK(!settlement.on_replica_position({1, 7}));
+    CHECK(!settlement.is_settled());
+    CHECK(settlement.on_replica_position({1, 8}));
+    CHECK(settlement.is_settled());
+    settlement.unsettle(time_point{12s});
+    CHECK(!settlement.is_settled());
+}
--- /dev/null
+++ b/tests/freshness/freshness_tests.cpp
@@ -0,0 +1,45 @@
+#include "gentianhill/freshness/primary_trust.h"
+#include "gentianhill/freshness/read_points.h"
+
+#include <doctest/doctest.h>
+
+using namespace gentianhill;
+using namespace std::chrono_literals;
+
+// Guards against a primary that is trusted beyond the time for which a promotion waits.
+TEST_CASE("primary_trust_ends_a_window_after_the_evidence_was_asked_for") {
+    primary_trust trust(400ms);
+    const time_point asked{10s};
+    CHECK(!trust.covers(asked));
+    trust.confirm(asked);
+    CHECK(trust.covers(asked + 399ms));
+    CHECK(!trust.covers(asked + 400ms));
+    trust.confirm(asked - 1s);
+    CHECK(trust.covers(asked + 399ms));
+    trust.reset();
+    CHECK(!trust.covers(asked));
+}
+
+// Guards against a position that was asked for too early, or while another primary may have led.
+TEST_CASE("read_points_oldest_position_within_the_limits_is_used") {
+    read_points points;
+    points.add({1, 10}, time_point{1s});
+    points.add({1, 20}, time_point{2s});
+    points.add({1, 30}, time_point{3s});
+    CHECK(points.at_least(time_point{1500ms}, time_point{10s}) == log_position{1, 20});
+    CHECK(points.at_least(time_point{2500ms}, time_point{2s}) == std::nullopt);
+    CHECK(points.at_least(time_point{1500ms}, time_point{2500ms}) == log_position{1, 20});
+    CHECK(points.at_least(time_point{4s}, time_point{10s}) == std::nullopt);
+}
+
+// Guards against answers that arrive out of order, and against memory that grows with the traffic.
+TEST_CASE("read_points_older_answers_are_ignored_and_near_ones_merged") {
+    read_points points;
+    for (int i = 0; i < 1000; ++i) {
+        points.add({1, static_cast<std::uint64_t>(i)}, time_point{1s} + i * duration(1ms));
+    }
+    points.add({1, 5}, time_point{1s});
+    const std::optional<log_position> newest = points.at_least(time_point{1999ms}, time_point{10s});
+    REQUIRE(newest);
+    CHECK(newest->position == 999);
+}
--- /dev/null
+++ b/tests/metadata/collection_watch_tests.cpp
@@ -0,0 +1,112 @@
+#include "gentianhill/metadata/collection_watch.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace gentianhill;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct watch_fixture {
+    struct call {
+        bool lists = false;
+        std::string after;
+        std::uint64_t revision = 0;
+        store_port::handler done;
+    };
+    store_port store;
+    logger log;
+    std::deque<call> calls;
+    std::deque<std::function<void()>> later;
+    std::vector<std::string> listed;
+    std::vector<std::string> events;
+    collection_watch watch{collection::instances, store, log, {}};
+
+    watch_fixture() {
+        log.sink = [](std::string_view) {};
+        store.list = [this](collection, const std::string& after, const store_port::handler& done) {
+            calls.push_back({true, after, 0, done});
+        };
+        store.watch = [this](collection, std::uint64_t revision, duration, const store_port::handler& done) {
+            calls.push_back({false, "", revision, done});
+        };
+        watch.call_after = [this](duration, std::function<void()> action) {
+            later.push_back(std::move(action));
+        };
+        watch.random = [] { return 0.5; };
+        watch.on_list = [this](const std::vector<stored_object>& objects) {
+            listed.clear();
+            for (const stored_object& object : objects) {
+                listed.push_back(object.name);
+            }
+        };
+        watch.on_event = [this](const store_event& event) { events.push_back(event.object.name); };
+        watch.start();
+    }
+
+    call next() {
+        REQUIRE(!calls.empty());
+        call taken = calls.front();
+        calls.pop_front();
+        return taken;
+    }
+
+    static store_answer page(const std::vector<std::string>& names, std::uint64_t revision, bool more) {
+        store_answer answer;
+        answer.outcome = store_outcome::done;
+        for (const std::string& name : names) {
+            answer.items.push_back({name, 1, {}});
+        }
+        answer.revision = revision;
+        answer.has_more = more;
+        return answer;
+    }
+};
+
+} // namespace
+
+// Guards against changes between two pages that are missed, and against pages that are left out.
+TEST_CASE_FIXTURE(watch_fixture, "collection_watch_starts_at_the_revision_of_the_first_page") {
+    next().done(page({"a"}, 5, true));
+    const call second = next();
+    CHECK(second.after == "a");
+    second.done(page({"b"}, 9, false));
+    CHECK(listed == std::vector<std::string>{"a", "b"});
+    CHECK(next().revision == 5);
+}
+
+// Guards against a watch that goes on from a history that the store has forgotten.
+TEST_CASE_FIXTURE(watch_fixture, "collection_watch_lists_again_after_the_history_is_lost") {
+    next().done(page({"a"}, 5, false));
+    store_answer lost;
+    lost.outcome = store_outcome::history_lost;
+    next().done(lost);
+    const call again = next();
+    CHECK(again.lists);
+    again.done(page({"c"}, 12, false));
+    CHECK(listed == std::vector<std::string>{"c"});
+    CHECK(next().revision == 12);
+}
+
+// Guards against a store that fails and is asked again without a pause, or never again.
+TEST_CASE_FIXTURE(watch_fixture, "collection_watch_failed_call_is_repeated_after_a_pause") {
+    next().done(page({"a"}, 5, false));
+    CHECK(watch.is_reachable());
+    next().done({});
+    CHECK(!watch.is_reachable());
+    CHECK(calls.empty());
+    REQUIRE(later.size() == 1);
+    later.front()();
+    CHECK(next().revision == 5);
+}
+
+// Guards against a hook that is called after the end.
+TEST_CASE_FIXTURE(watch_fixture, "collection_watch_that_was_stopped_ignores_late_answers") {
+    const call open = next();
+    watch.stop();
+    open.done(page({"a"}, 5, false));
+    CHECK(listed.empty());
+    CHECK(calls.empty());
+}
--- /dev/null
+++ b/tests/platform/entries_tests.cpp
@@ -0,0 +1,107 @@
+#include "platform/entries.h"
+#include "platform/http_store.h"
+
+#include <doctest/doctest.h>
+
+using namespace gentianhill;
+using namespace gentianhill::platform;
+
+namespace {
+
+nlohmann::json valid_entry() {
+    return {{"Backend", "huvo11a"}, {"Address", "10.128.0.9:8080"},
+            {"Zone", "kyushu-a"},   {"Version", "v1"},
+            {"Capacity", 5},        {"State", "ready"},
+            {"WarmupLeftMs", 0},    {"DbRole", "replica"},
+            {"Sequence", 4},        {"born", 1780000000123}};
+}
+
+std::optional<listed_instance> read(const nlohmann::json& content) {
+    error reason;
+    return read_instance({"i-1", 3, content}, reason);
+}
+
+} // namespace
+
+// Guards against fields that are decoded under the wrong meaning.
+TEST_CASE("entries_instance_is_read_into_the_project_names") {
+    nlohmann::json content = valid_entry();
+    content["State"] = "draining";
+    content["DbRole"] = "primary";
+    const std::optional<listed_instance> listed = read(content);
+    REQUIRE(listed);
+    CHECK(listed->id == "i-1");
+    CHECK(listed->group == "huvo11a");
+    CHECK(listed->address == endpoint{"10.128.0.9", 8080});
+    CHECK(listed->slots == 5);
+    CHECK(listed->draining);
+    CHECK(listed->claims_primary);
+    CHECK(listed->started_at_ms == 1780000000123);
+}
+
+// Guards against an entry of another writer that names an instance or ends the process.
+TEST_CASE("entries_entry_that_is_not_valid_names_no_instance") {
+    for (const char* field : {"Backend", "Address", "Zone", "Capacity", "State", "DbRole"}) {
+        CAPTURE(field);
+        nlohmann::json missing = valid_entry();
+        missing.erase(field);
+        CHECK(!read(missing));
+        nlohmann::json other_type = valid_entry();
+        other_type[field] = nlohmann::json::array({1});
+        CHECK(!read(other_type));
+    }
+    nlohmann::json state = valid_entry();
+    state["State"] = "sleeping";
+    CHECK(!read(state));
+    nlohmann::json address = valid_entry();
+    address["Address"] = "nowhere";
+    CHECK(!read(address));
+    CHECK(!read("text"));
+    CHECK(!read(nullptr));
+    nlohmann::json unknown = valid_entry();
+    unknown["New"] = true;
+    CHECK(read(unknown));
+}
+
+// Guards against a configuration that is half applied.
+TEST_CASE("entries_configuration_is_read_whole_or_not_at_all") {
+    const nlohmann::json content = nlohmann::json::parse(R"({"Version": 7,
+        "Routes": [{"Name": "r-1", "Database": "fiti", "Type": "read_your_writes", "TimeoutMs": 1000,
+                    "TargetLatencyMs": 400, "Priority": 2, "Backend": "huvo11a", "MaxStalenessMs": 2500}],
+        "Backends": [{"Name": "huvo11a", "MaxConns": 34, "SyncReplicas": 1}], "Limits": {"TxIdleMs": 3000}})");
+    error reason;
+    const std::optional<proxy_configuration> configuration = read_configuration({"main", 1, content}, reason);
+    REQUIRE(configuration);
+    CHECK(configuration->version == 7);
+    CHECK(configuration->routes.at("fiti")->rule == read_rule::own_writes);
+    CHECK(configuration->routes.at("fiti")->max_staleness == std::chrono::milliseconds(2500));
+    CHECK(configuration->groups.at("huvo11a").sync_replicas == 1);
+    CHECK(configuration->transaction_idle_limit == std::chrono::seconds(3));
+    nlohmann::json broken = content;
+    broken["Routes"].push_back({{"Name", "r-2"}});
+    error missing;
+    CHECK(!read_configuration({"main", 2, broken}, missing));
+    CHECK(missing.code == error_code::missing_field);
+}
+
+// Guards against an answer of the store that cannot be read being taken for a success.
+TEST_CASE("entries_store_answer_is_read_by_status_and_body") {
+    const store_answer listed = parse_store_answer(
+        200,
+        R"({"items":[{"meta":{"Name":"a","Revision":3},"spec":{"x":1}},{"meta":5}],"HasMore":true,"StoreRevision":530})");
+    CHECK(listed.outcome == store_outcome::done);
+    REQUIRE(listed.items.size() == 1);
+    CHECK(listed.items[0].revision == 3);
+    CHECK(listed.has_more);
+    CHECK(listed.revision == 530);
+    const store_answer watched = parse_store_answer(
+        200,
+        R"({"events":[{"Deleted":true,"Object":{"meta":{"Name":"a","Revision":4}}}],"StoreRevision":533})");
+    REQUIRE(watched.events.size() == 1);
+    CHECK(watched.events[0].deleted);
+    CHECK(parse_store_answer(200, "{").outcome == store_outcome::unknown);
+    CHECK(parse_store_answer(0, "").outcome == store_outcome::unknown);
+    CHECK(parse_store_answer(410, "").outcome == store_outcome::history_lost);
+    CHECK(parse_store_answer(429, "").outcome == store_outcome::refused);
+    CHECK(parse_store_answer(409, R"({"meta":{"Name":"a","Revision":9},"spec":{}})").object->revision == 9);
+}
--- /dev/null
+++ b/tests/platform/line_codec_tests.cpp
@@ -0,0 +1,93 @@
+#include "platform/line_codec.h"
+
+#include <doctest/doctest.h>
+
+using namespace gentianhill;
+using namespace gentianhill::platform;
+
+namespace {
+
+std::string encode(const instance_command& command) {
+    std::string out;
+    append_command(out, command);
+    return out;
+}
+
+} // namespace
+
+// Guards against a text that is changed on its way to an instance.
+TEST_CASE("line_codec_client_statement_is_passed_on_unchanged") {
+    const statement parsed = parse_query("5c0e WRITE 1a4 some data  with blanks");
+    CHECK(parsed.kind == statement_kind::write);
+    CHECK(encode(make_statement_command(parsed, "")) == "QUERY 5c0e WRITE 1a4 some data  with blanks\r\n");
+    instance_command read = make_statement_command(parse_query("ab READ 1a4"), "");
+    CHECK(parse_query("ab READ 1a4").kind == statement_kind::read);
+    const statement text = parse_query("ab READ 1a4");
+    read = make_statement_command(text, "");
+    read.since = log_position{3, 1207};
+    CHECK(encode(read) == "QUERY ab SINCE 3.1207 READ 1a4\r\n");
+}
+
+// Guards against a prepared statement that runs under the client's own name.
+TEST_CASE("line_codec_execution_carries_the_shared_name_and_the_client_arguments") {
+    const statement parsed = parse_query("5c0e EXECUTE s1 1a4 xkqp wnzd");
+    CHECK(parsed.name == "s1");
+    const std::string shared = "wq2c";
+    CHECK(encode(make_statement_command(parsed, shared)) == "QUERY 5c0e EXECUTE wq2c 1a4 xkqp wnzd\r\n");
+}
+
+// Guards against statements that a client could smuggle to an instance, or that only the proxy may send.
+TEST_CASE("line_codec_text_that_is_not_allowed_is_malformed") {
+    for (const char* text :
+         {"", "- READ a", "id", "id STATUS", "id PAUSE 3", "id RESET", "id SINCE 1.2 READ a", "id READ",
+          "id WRITE a", "id BEGIN WRITE", "id COMMIT now", "id PREPARE s1 DROP x", "id PREPARE s1 READ",
+          "id SET name", "id EXECUTE s1", "id READ a\rQUERY - STATUS", "id READ \xff\xfe", "id READ \xc3",
+          "id READ a\tb"}) {
+        CAPTURE(text);
+        CHECK(parse_query(text).kind == statement_kind::malformed);
+    }
+}
+
+// Guards against text in other languages being refused.
+TEST_CASE("line_codec_text_in_utf8_is_allowed") {
+    CHECK(parse_query("id WRITE a \xe8\xbb\x8a\xe8\xbc\xaa").kind == statement_kind::write);
+}
+
+// Guards against an answer that a client cannot read.
+TEST_CASE("line_codec_result_has_rows_then_signature_then_state") {
+    statement_result result;
+    result.rows = {"one", "two"};
+    result.signature = "7.1f3";
+    result.state = transaction_state::open;
+    std::string out;
+    append_result(out, result);
+    CHECK(out == "DATAROW one\r\nDATAROW two\r\nCOMPLETE 7.1f3\r\nREADY T -\r\n");
+    out.clear();
+    append_result(out, make_refusal(statement_outcome::busy, "no_primary", transaction_state::idle));
+    CHECK(out == "ERROR BUSY no_primary\r\nREADY I -\r\n");
+}
+
+// Guards against a row of another form being taken for a status.
+TEST_CASE("line_codec_status_row_is_read_field_by_field") {
+    const std::optional<instance_status> status = parse_status_row("replica 3 3.1209 4 12 2 17");
+    REQUIRE(status);
+    CHECK(!status->is_primary);
+    CHECK(status->term == 3);
+    CHECK(status->received == log_position{3, 1209});
+    CHECK(status->fenced_term == 4);
+    CHECK(status->connections == 17);
+    CHECK(!status->is_receiving());
+    CHECK(!parse_status_row("qhzkwmtrbelo"));
+    CHECK(!parse_status_row("leader 3 3.1 0 0 0 0"));
+    CHECK(!parse_status_row("primary x 3.1 0 0 0 0"));
+}
+
+// Guards against an error code of a newer instance being taken for a promise.
+TEST_CASE("line_codec_unknown_error_code_promises_nothing") {
+    statement_result result;
+    parse_error("SOMETHING new", result);
+    CHECK(result.outcome == statement_outcome::failed);
+    parse_error("READONLY i-7f3a", result);
+    CHECK(result.outcome == statement_outcome::read_only);
+    CHECK(result.detail == "i-7f3a");
+}
--- /dev/null
+++ b/tests/session/connection_state_tests.cpp
@@ -0,0 +1,80 @@
+#include "gentianhill/session/connection_state.h"
+
+#include <doctest/doctest.h>
+
+using namespace gentianhill;
+
+namespace {
+
+struct connection_fixture {
+    session_state session;
+    connection_state connection;
+
+    void apply_all(const prepared_statement* needed = nullptr) {
+        for (const setup_step& step : connection.plan(session, needed)) {
+            connection.apply(step);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against setup calls that cost a round trip for nothing.
+TEST_CASE_FIXTURE(connection_fixture, "connection_state_with_the_session_values_needs_nothing") {
+    session.set_value("zone", "tokyo");
+    CHECK(connection.plan(session, nullptr).size() == 1);
+    apply_all();
+    CHECK(connection.plan(session, nullptr).empty());
+    CHECK(connection.matches_values(session));
+}
+
+// Guards against a value of an earlier session that stays in effect.
+TEST_CASE_FIXTURE(connection_fixture, "connection_state_foreign_value_is_cleared_by_a_reset") {
+    session.set_value("zone", "tokyo");
+    apply_all();
+    const session_state other;
+    const std::vector<setup_step> steps = connection.plan(other, nullptr);
+    REQUIRE(steps.size() == 1);
+    CHECK(steps[0].kind == setup_kind::reset);
+}
+
+// Guards against a prepared statement that a reset has forgotten.
+TEST_CASE_FIXTURE(connection_fixture, "connection_state_reset_prepares_again") {
+    const prepared_statement shape{"rims", false};
+    session.set_value("zone", "tokyo");
+    apply_all(&shape);
+    CHECK(connection.plan(session, &shape).empty());
+    const session_state other;
+    const std::vector<setup_step> steps = connection.plan(other, &shape);
+    REQUIRE(steps.size() == 2);
+    CHECK(steps[1].kind == setup_kind::prepare);
+}
+
+// Guards against a connection that collects prepared statements without a bound.
+TEST_CASE_FIXTURE(connection_fixture, "connection_state_full_of_prepared_statements_is_reset") {
+    for (std::size_t i = 0; i < connection_state::max_prepared; ++i) {
+        const prepared_statement shape{"shape" + std::to_string(i), false};
+        apply_all(&shape);
+    }
+    const prepared_statement extra{"extra", true};
+    const std::vector<setup_step> steps = connection.plan(session, &extra);
+    REQUIRE(steps.size() == 2);
+    CHECK(steps[0].kind == setup_kind::reset);
+}
+
+// Guards against two shapes that share a name on an instance connection.
+TEST_CASE("shared_statement_name_differs_for_each_shape_and_mode") {
+    CHECK(shared_statement_name({"a b", false}) != shared_statement_name({"a_b", false}));
+    CHECK(shared_statement_name({"a", false}) != shared_statement_name({"a", true}));
+    CHECK(shared_statement_name({"a_20b", false}) != shared_statement_name({"a b", false}));
+}
+
+// Guards against a client that fills the memory with prepared statements.
+TEST_CASE("session_state_number_of_prepared_statements_is_bounded") {
+    session_state session;
+    for (std::size_t i = 0; i < session_state::max_prepared; ++i) {
+        REQUIRE(session.prepare("s" + std::to_string(i), {"x", false}));
+    }
+    CHECK(!session.prepare("one_more", {"x", false}));
+    CHECK(session.prepare("s1", {"y", true}));
+}
