Soak real processes against stand-ins of the platform

The registry's list may be stale, and a watch waits as long as the platform's window for silent connections allows, which saves calls.

--- a/gentianhill/metadata/store_port.h
+++ b/gentianhill/metadata/store_port.h
@@ -69,7 +69,8 @@
 struct store_port {
     using handler = std::function<void(const store_answer&)>;
 
-    /// Lists the objects of a collection after a name; empty from the start.
+    /// Lists the objects of a collection after a name; empty from the start. A list of proxies may be seconds
+    /// old.
     std::function<void(collection which, const std::string& after, handler done)> list;
     /// Waits for changes after a revision, for `wait` at most.
     std::function<void(collection which, std::uint64_t revision, duration wait, handler done)> watch;
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -50,6 +50,10 @@
         make_number("trust_window_ms", 400, 50, 10'000, "ms",
                     "Time for which a primary is trusted after evidence. The same on all daemons: a "
                     "promotion waits for longer."));
+    result.push_back(
+        make_number("silence_limit_ms", 4000, 1500, 60'000, "ms",
+                    "Time in which a connection to the store that has gone silent must be noticed. "
+                    "Longer ones cost fewer calls."));
     setting_definition level;
     level.name = "log_level";
     level.type = setting_type::choice;
@@ -79,6 +83,8 @@
 proxy_process_settings proxy_process_settings::from(const setting_values& values) {
     /// Longer than the trust window by more than timers and clocks can be off.
     constexpr duration trust_margin = std::chrono::milliseconds(30);
+    /// Time that a watch's call gets beyond its wait, and that the next call takes.
+    constexpr duration call_margin = std::chrono::milliseconds(1000);
     proxy_process_settings result;
     result.proxy.name = values.text("name");
     result.proxy.zone = values.text("zone");
@@ -87,6 +93,7 @@
     result.proxy.lease.turn_spacing = std::chrono::milliseconds(values.integer("turn_spacing_ms"));
     result.proxy.group.trust_window = std::chrono::milliseconds(values.integer("trust_window_ms"));
     result.proxy.failover.promotion.trust_wait = result.proxy.group.trust_window + trust_margin;
+    result.proxy.watch.wait = std::chrono::milliseconds(values.integer("silence_limit_ms")) - call_margin;
     result.client_listen = address_of(values, "client_listen");
     result.admin_listen = address_of(values, "admin_listen");
     result.store = address_of(values, "store");
--- /dev/null
+++ b/standins/line_platform/http_platform.cpp
@@ -0,0 +1,205 @@
+#include "standins/line_platform/http_platform.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+namespace gentianhill::standins {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_missing = 404;
+constexpr int status_conflict = 409;
+constexpr int status_down = 503;
+
+void reply(evhttp_request* request, int status, const nlohmann::json& body) {
+    evbuffer* buffer = evbuffer_new();
+    const std::string text = body.dump();
+    evbuffer_add(buffer, text.data(), text.size());
+    evhttp_send_reply(request, status, nullptr, buffer);
+    evbuffer_free(buffer);
+}
+
+std::string body_of(evhttp_request* request) {
+    evbuffer* input = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(input), '\0');
+    evbuffer_copyout(input, body.data(), body.size());
+    return body;
+}
+
+std::string header_of(evhttp_request* request, const char* name) {
+    const char* value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
+    return value == nullptr ? "" : value;
+}
+
+} // namespace
+
+http_platform::http_platform(event_loop& loop) : loop_(loop), server_(evhttp_new(loop.native())) {
+    evhttp_set_allowed_methods(server_,
+                               EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+    evhttp_set_gencb(
+        server_,
+        [](evhttp_request* request, void* argument) {
+            static_cast<http_platform*>(argument)->handle(request);
+        },
+        this);
+}
+
+http_platform::~http_platform() {
+    watches_.clear();
+    evhttp_free(server_);
+}
+
+std::uint16_t http_platform::listen() {
+    evhttp_bound_socket* bound = evhttp_bind_socket_with_handle(server_, "127.0.0.1", 0);
+    if (bound == nullptr) {
+        return 0;
+    }
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+void http_platform::write(const std::string& kind, const std::string& name, const nlohmann::json& spec) {
+    const nlohmann::json object = {{"meta", {{"Name", name}, {"Revision", ++revision_}}}, {"spec", spec}};
+    objects_[{kind, name}] = object;
+    history_.emplace_back(kind, nlohmann::json{{"Object", object}, {"Deleted", false}});
+    wake();
+}
+
+void http_platform::handle(evhttp_request* request) {
+    const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+    const std::string path = evhttp_uri_get_path(uri);
+    if (is_down) {
+        reply(request, status_down, {});
+        return;
+    }
+    if (path == "/promote") {
+        const nlohmann::json body = nlohmann::json::parse(body_of(request));
+        const std::uint64_t token = std::stoull("0" + header_of(request, "X-Gentianhill-Fencing-Token"));
+        reply(request, on_promote(body.at("Id"), token), nlohmann::json::object());
+        return;
+    }
+    constexpr std::string_view prefix = "/objects/";
+    const std::string rest = path.substr(std::min(path.size(), prefix.size()));
+    const std::size_t slash = rest.find('/');
+    const std::string kind = rest.substr(0, slash);
+    const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    if (evhttp_request_get_command(request) != EVHTTP_REQ_GET) {
+        change(request, kind, name);
+        return;
+    }
+    if (!name.empty()) {
+        const auto found = objects_.find({kind, name});
+        reply(request, found == objects_.end() ? status_missing : status_ok,
+              found == objects_.end() ? nlohmann::json::object() : found->second);
+        return;
+    }
+    evkeyvalq query{};
+    const char* text = evhttp_uri_get_query(uri);
+    evhttp_parse_query_str(text == nullptr ? "" : text, &query);
+    const char* from = evhttp_find_header(&query, "Watch");
+    const char* wait = evhttp_find_header(&query, "WaitMs");
+    if (from == nullptr) {
+        list(request, kind);
+    } else {
+        watch(request, kind, std::stoull(from), wait == nullptr ? 0 : std::stoll(wait));
+    }
+    evhttp_clear_headers(&query);
+}
+
+void http_platform::list(evhttp_request* request, const std::string& kind) {
+    nlohmann::json items = nlohmann::json::array();
+    for (const auto& entry : objects_) {
+        if (entry.first.first == kind) {
+            items.push_back(entry.second);
+        }
+    }
+    reply(request, status_ok, {{"items", items}, {"HasMore", false}, {"StoreRevision", revision_}});
+}
+
+void http_platform::change(evhttp_request* request, const std::string& kind, const std::string& path_name) {
+    if (evhttp_request_get_command(request) == EVHTTP_REQ_DELETE) {
+        objects_.erase({kind, path_name});
+        reply(request, status_ok, nlohmann::json::object());
+        return;
+    }
+    const nlohmann::json body = nlohmann::json::parse(body_of(request));
+    const std::string name = body.at("meta").at("Name");
+    const std::uint64_t revision = body.at("meta").value("Revision", std::uint64_t{0});
+    const auto present = objects_.find({kind, name});
+    const std::uint64_t current =
+        present == objects_.end() ? 0 : present->second.at("meta").at("Revision").get<std::uint64_t>();
+    if (revision != current) {
+        reply(request, present == objects_.end() ? status_missing : status_conflict,
+              present == objects_.end() ? nlohmann::json::object() : present->second);
+        return;
+    }
+    write(kind, name, body.at("spec"));
+    if (lost_answers > 0) {
+        // The caller gives up in the end, and its closing ends the request.
+        --lost_answers;
+        return;
+    }
+    reply(request, status_ok, objects_.at({kind, name}));
+}
+
+bool http_platform::answer_events(evhttp_request* request, const std::string& kind, std::uint64_t revision,
+                                  bool even_none) {
+    nlohmann::json events = nlohmann::json::array();
+    for (const std::pair<std::string, nlohmann::json>& entry : history_) {
+        if (entry.first == kind && entry.second.at("Object").at("meta").at("Revision") > revision) {
+            events.push_back(entry.second);
+        }
+    }
+    if (events.empty() && !even_none) {
+        return false;
+    }
+    reply(request, status_ok, {{"events", events}, {"StoreRevision", revision_}});
+    return true;
+}
+
+void http_platform::watch(evhttp_request* request, const std::string& kind, std::uint64_t revision,
+                          std::int64_t wait_ms) {
+    if (answer_events(request, kind, revision, false)) {
+        return;
+    }
+    const std::uint64_t number = ++last_watch_;
+    watches_.push_back({number, request, kind, revision});
+    evhttp_connection_set_closecb(
+        evhttp_request_get_connection(request),
+        [](evhttp_connection* closed, void* argument) {
+            http_platform* self = static_cast<http_platform*>(argument);
+            std::erase_if(self->watches_, [closed](const waiting_watch& open) {
+                return evhttp_request_get_connection(open.request) == closed;
+            });
+        },
+        this);
+    loop_.run_after(std::chrono::milliseconds(wait_ms), [this, number] {
+        const auto open = std::find_if(watches_.begin(), watches_.end(),
+                                       [number](const waiting_watch& each) { return each.number == number; });
+        if (open != watches_.end()) {
+            const waiting_watch ended = *open;
+            watches_.erase(open);
+            static_cast<void>(answer_events(ended.request, ended.kind, ended.revision, true));
+        }
+    });
+}
+
+void http_platform::wake() {
+    std::vector<waiting_watch> open;
+    open.swap(watches_);
+    for (const waiting_watch& each : open) {
+        if (!answer_events(each.request, each.kind, each.revision, false)) {
+            watches_.push_back(each);
+        }
+    }
+}
+
+} // namespace gentianhill::standins
--- /dev/null
+++ b/standins/line_platform/http_platform.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "gentianhill/core/event_loop.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+struct evhttp;
+struct evhttp_request;
+
+namespace gentianhill::standins {
+
+/// The platform's metadata store and promotion call over HTTP/1.1, in memory.
+class http_platform {
+public:
+    /// The loop must outlive the server.
+    explicit http_platform(event_loop& loop);
+    ~http_platform();
+    http_platform(const http_platform&) = delete;
+    http_platform& operator=(const http_platform&) = delete;
+
+    /// Listens on a free port of the loopback address; returns it, 0 when that fails.
+    [[nodiscard]] std::uint16_t listen();
+    /// Writes an object as its owner does.
+    void write(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+
+    /// Takes a promotion with its fencing token; returns the status of the answer.
+    std::function<int(const std::string& id, std::uint64_t token)> on_promote;
+    /// Every call is answered with 503.
+    bool is_down = false;
+    /// Changes that are made although they are answered with a failure.
+    int lost_answers = 0;
+
+private:
+    struct waiting_watch {
+        std::uint64_t number = 0;
+        evhttp_request* request = nullptr;
+        std::string kind;
+        std::uint64_t revision = 0;
+    };
+
+    void handle(evhttp_request* request);
+    void change(evhttp_request* request, const std::string& kind, const std::string& name);
+    void list(evhttp_request* request, const std::string& kind);
+    void watch(evhttp_request* request, const std::string& kind, std::uint64_t revision,
+               std::int64_t wait_ms);
+    [[nodiscard]] bool answer_events(evhttp_request* request, const std::string& kind, std::uint64_t revision,
+                                     bool even_none);
+    void wake();
+
+    event_loop& loop_;
+    evhttp* server_;
+    std::map<std::pair<std::string, std::string>, nlohmann::json> objects_;
+    std::vector<std::pair<std::string, nlohmann::json>> history_;
+    std::vector<waiting_watch> watches_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t last_watch_ = 0;
+};
+
+} // namespace gentianhill::standins
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,439 @@
+#include "gentianhill/core/boot_clock.h"
+#include "gentianhill/core/event_loop.h"
+#include "standins/line_platform/http_platform.h"
+#include "standins/line_platform/line_instances.h"
+#include "standins/replicated_service/service_model.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <map>
+#include <memory>
+#include <netinet/in.h>
+#include <random>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+using namespace gentianhill;
+using namespace gentianhill::standins;
+using namespace std::chrono_literals;
+
+/// Plays seconds of failures against real processes of the daemon: kills, freezes, planned stops, crashes,
+/// silence and cuts of instances, an unreachable store and lost answers. Every answer to a client is checked.
+/// Usage: gentianhill_soak PROGRAM SEED [SECONDS]; exits with 1 when a promise was broken.
+namespace {
+
+constexpr std::size_t daemon_count = 3;
+constexpr std::size_t clients_per_daemon = 3;
+constexpr duration fault_interval = 600ms;
+constexpr duration staleness = 1500ms;
+/// Time without faults at the end, in which everything must be served again.
+constexpr duration recovery = 9s;
+constexpr std::size_t compared_commits = 40;
+const std::string group = "orders";
+
+std::uint16_t free_port() {
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    bind(probe, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+    close(probe);
+    return ntohs(address.sin_port);
+}
+
+struct daemon_process {
+    std::string name;
+    std::uint16_t client_port = 0;
+    std::uint16_t admin_port = 0;
+    pid_t pid = 0;
+    bool frozen = false;
+};
+
+/// A client with one connection and at most one statement under way.
+struct soak_client {
+    std::size_t daemon = 0;
+    std::string database;
+    std::unique_ptr<platform::line_socket> socket;
+    bool ready = false;
+    std::string waiting;
+    bool writes = false;
+    time_point sent_at;
+    std::string outcome;
+    std::vector<std::string> own_writes;
+};
+
+class soak {
+public:
+    soak(std::string program, std::uint64_t seed, duration length)
+        : program_(std::move(program)),
+          random_(seed),
+          length_(length),
+          flusher_(loop_),
+          model_({}),
+          instances_(flusher_, model_, group),
+          http_(loop_) {}
+
+    int run() {
+        start_platform();
+        for (std::size_t i = 0; i < daemon_count; ++i) {
+            daemons_.push_back({"daemon-" + std::to_string(i), free_port(), free_port(), 0, false});
+            launch(daemons_.back());
+            for (std::size_t c = 0; c < clients_per_daemon; ++c) {
+                const std::vector<std::string> databases{"latest", "bounded", "own"};
+                clients_.push_back(std::make_unique<soak_client>());
+                clients_.back()->daemon = i;
+                clients_.back()->database = databases[c % databases.size()];
+            }
+        }
+        start_ = boot_now();
+        step();
+        strike_later();
+        loop_.run_until([this] { return boot_now() - start_ > length_; }, length_ + 10s);
+        for (daemon_process& each : daemons_) {
+            stop(each, SIGKILL);
+        }
+        return report();
+    }
+
+private:
+    std::size_t pick(std::size_t count) {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+    }
+
+    void start_platform() {
+        model_.call_after = [this](duration delay, std::function<void()> action) {
+            loop_.run_after(delay, std::move(action));
+        };
+        model_.now = &boot_now;
+        model_.on_read = [this](const model_command& command, const model_connection&,
+                                const std::vector<model_entry>& log) { check_read(command.id, log); };
+        store_port_ = http_.listen();
+        http_.on_promote = [this](const std::string& id, std::uint64_t token) {
+            if (token < newest_token_) {
+                findings_.push_back(fmt::format("token {} after {}", token, newest_token_));
+            }
+            newest_token_ = std::max(newest_token_, token);
+            return model_.promote(id) ? 200 : 409;
+        };
+        for (const char* id : {"i-1", "i-2", "i-3"}) {
+            model_.add(id);
+            ports_[id] = instances_.listen(id);
+            list(id);
+        }
+        model_.start();
+        nlohmann::json routes = nlohmann::json::array();
+        for (const auto& [name, type] :
+             {std::pair{"latest", "primary"}, std::pair{"bounded", "bounded_staleness"},
+              std::pair{"own", "read_your_writes"}}) {
+            routes.push_back({{"Name", name},
+                              {"Database", name},
+                              {"Type", type},
+                              {"Backend", group},
+                              {"Priority", 1},
+                              {"TimeoutMs", 1000},
+                              {"TargetLatencyMs", 200},
+                              {"MaxStalenessMs", 1500}});
+        }
+        http_.write("config", "main",
+                    {{"Version", 1},
+                     {"Routes", routes},
+                     {"Limits", {{"TxIdleMs", 3000}}},
+                     {"Backends", {{{"Name", group}, {"MaxConns", 40}, {"SyncReplicas", 1}}}}});
+    }
+
+    void list(const std::string& id) {
+        listed_primary_[id] = model_.is_primary(id);
+        http_.write("servers", id,
+                    {{"Backend", group},
+                     {"Address", fmt::format("127.0.0.1:{}", ports_[id])},
+                     {"Zone", "a"},
+                     {"Capacity", 4},
+                     {"State", "ready"},
+                     {"DbRole", listed_primary_[id] ? "primary" : "replica"}});
+    }
+
+    void launch(daemon_process& started) {
+        const std::vector<std::string> flags{program_,
+                                             "--name=" + started.name,
+                                             "--zone=a",
+                                             fmt::format("--client-listen=127.0.0.1:{}", started.client_port),
+                                             fmt::format("--admin-listen=127.0.0.1:{}", started.admin_port),
+                                             fmt::format("--store=127.0.0.1:{}", store_port_),
+                                             fmt::format("--promotion-service=127.0.0.1:{}", store_port_),
+                                             "--grace-s=3"};
+        started.pid = fork();
+        if (started.pid == 0) {
+            std::vector<char*> arguments;
+            for (const std::string& flag : flags) {
+                arguments.push_back(const_cast<char*>(flag.c_str()));
+            }
+            arguments.push_back(nullptr);
+            const char* log = std::getenv("GENTIANHILL_SOAK_LOG");
+            const int out = ::open(log == nullptr ? "/dev/null" : log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+            dup2(out, STDOUT_FILENO);
+            unsetenv("GENTIANHILL_SOAK_LOG");
+            execv(program_.c_str(), arguments.data());
+            _exit(127);
+        }
+        started.frozen = false;
+    }
+
+    void stop(daemon_process& stopped, int signal_number) {
+        if (stopped.pid > 0) {
+            kill(stopped.pid, SIGCONT);
+            kill(stopped.pid, signal_number);
+            waitpid(stopped.pid, nullptr, 0);
+            stopped.pid = 0;
+        }
+    }
+
+    void strike_later() {
+        loop_.run_after(fault_interval, [this] {
+            if (boot_now() - start_ < length_ - recovery) {
+                strike();
+                strike_later();
+            } else {
+                heal();
+            }
+        });
+    }
+
+    void strike() {
+        daemon_process& target = daemons_[pick(daemons_.size())];
+        const std::string id = model_.ids()[pick(3)];
+        const std::string other = model_.ids()[pick(3)];
+        switch (pick(10)) {
+        case 0:
+            stop(target, SIGKILL);
+            launch(target);
+            break;
+        case 1:
+            if (!target.frozen) {
+                kill(target.pid, SIGSTOP);
+                target.frozen = true;
+                loop_.run_after(1500ms, [&target] {
+                    kill(target.pid, SIGCONT);
+                    target.frozen = false;
+                });
+            }
+            break;
+        case 2:
+            kill(target.pid, SIGTERM);
+            loop_.run_after(3s, [this, &target] {
+                stop(target, SIGKILL);
+                launch(target);
+            });
+            break;
+        case 3:
+            crash(pick(2) == 0 && !model_.leader().empty() ? model_.leader() : id);
+            break;
+        case 4:
+            instances_.set_silent(id, true);
+            break;
+        case 5:
+            instances_.set_silent(id, false);
+            break;
+        case 6:
+            model_.set_cut(id, other, true);
+            break;
+        case 7:
+            http_.is_down = true;
+            loop_.run_after(1s, [this] { http_.is_down = false; });
+            break;
+        case 8:
+            instances_.lost_answers = 2;
+            http_.lost_answers = 1;
+            break;
+        default:
+            heal();
+            break;
+        }
+    }
+
+    void crash(const std::string& id) {
+        model_.set_up(id, false);
+        instances_.reset(id);
+        loop_.run_after(4s, [this, id] { model_.set_up(id, true); });
+    }
+
+    void heal() {
+        http_.is_down = false;
+        for (const std::string& a : model_.ids()) {
+            instances_.set_silent(a, false);
+            model_.set_up(a, true);
+            for (const std::string& b : model_.ids()) {
+                model_.set_cut(a, b, false);
+            }
+        }
+    }
+
+    void step() {
+        for (const std::string& id : model_.ids()) {
+            if (!http_.is_down && model_.is_up(id) && listed_primary_[id] != model_.is_primary(id)) {
+                list(id);
+            }
+        }
+        for (const std::unique_ptr<soak_client>& each : clients_) {
+            speak(*each);
+        }
+        loop_.run_after(10ms, [this] { step(); });
+    }
+
+    void speak(soak_client& client) {
+        if (client.socket == nullptr) {
+            open(client);
+            return;
+        }
+        if (!client.ready || !client.waiting.empty()) {
+            return;
+        }
+        client.waiting = fmt::format("s{}", ++last_id_);
+        client.writes = pick(3) == 0;
+        client.sent_at = boot_now();
+        client.outcome.clear();
+        reads_[client.waiting] = {client.sent_at, client.database, client.own_writes};
+        client.socket->output() +=
+            fmt::format("QUERY {} {}\r\n", client.waiting, client.writes ? "WRITE item data" : "READ item");
+        client.socket->flush_later();
+    }
+
+    void open(soak_client& client) {
+        const endpoint address{"127.0.0.1", daemons_[client.daemon].client_port};
+        client.socket = std::make_unique<platform::line_socket>(flusher_, address);
+        client.ready = false;
+        client.waiting.clear();
+        client.own_writes.clear();
+        client.socket->on_line = [this, &client](std::string_view line) { on_line(client, line); };
+        client.socket->on_end = [this, &client](platform::socket_end) {
+            loop_.run_after(50ms, [&client] { client.socket.reset(); });
+        };
+        client.socket->output() += "STARTUP " + client.database + " soak\r\n";
+        client.socket->flush_later();
+    }
+
+    void on_line(soak_client& client, std::string_view line) {
+        const platform::message received = platform::split_message(line);
+        if (received.kind == platform::message_kind::ready) {
+            if (client.ready && !client.waiting.empty()) {
+                finish(client);
+            }
+            client.ready = true;
+        } else if (received.kind == platform::message_kind::complete) {
+            client.outcome = "done";
+            if (received.rest != "signed-" + client.waiting) {
+                findings_.push_back("foreign signature for " + client.waiting);
+            }
+        } else if (received.kind == platform::message_kind::error) {
+            client.outcome = received.rest.substr(0, received.rest.find(' '));
+        }
+    }
+
+    void finish(soak_client& client) {
+        const std::string id = std::move(client.waiting);
+        client.waiting.clear();
+        const bool done = client.outcome == "done";
+        const bool acknowledged = model_.acknowledged().count(id) > 0;
+        const bool promises_nothing =
+            client.outcome == "INDOUBT" || client.outcome == "TIMEOUT" || client.outcome == "FAILED";
+        if (client.writes && done && !acknowledged) {
+            findings_.push_back("write " + id + " is confirmed but not acknowledged");
+        }
+        if (client.writes && !done && acknowledged && !promises_nothing) {
+            findings_.push_back("write " + id + " is answered " + client.outcome + " but acknowledged");
+        }
+        if (client.writes && done) {
+            client.own_writes.push_back(id);
+        }
+        if (!client.writes && done && stale_.count(id) > 0) {
+            findings_.push_back("stale read " + id + " on " + client.database + ": " + stale_[id]);
+        }
+        served_ += done ? 1U : 0U;
+        served_at_the_end_ += done && boot_now() - start_ > length_ - 1s ? 1U : 0U;
+        reads_.erase(id);
+    }
+
+    void check_read(const std::string& id, const std::vector<model_entry>& log) {
+        const std::map<std::string, sent_statement>::iterator found = reads_.find(id);
+        if (found == reads_.end()) {
+            return;
+        }
+        const sent_statement& read = found->second;
+        const duration allowed = read.database == "latest" ? duration(0) : staleness;
+        std::size_t compared = 0;
+        const std::vector<model_acknowledgement>& all = model_.acknowledgements();
+        for (auto commit = all.rbegin(); commit != all.rend() && compared < compared_commits; ++commit) {
+            const bool own = read.database == "own" &&
+                             std::find(read.own_writes.begin(), read.own_writes.end(), commit->id) !=
+                                 read.own_writes.end();
+            if (own || commit->at < read.sent_at - allowed) {
+                ++compared;
+                if (log.size() <= commit->index || log[commit->index].id != commit->id) {
+                    stale_[id] = "lacks " + commit->id;
+                }
+            }
+        }
+    }
+
+    int report() {
+        std::vector<std::string> all = findings_;
+        all.insert(all.end(), model_.violations().begin(), model_.violations().end());
+        if (served_at_the_end_ == 0) {
+            all.push_back("nothing was served in the last second");
+        }
+        for (const std::string& finding : all) {
+            fmt::print("broken: {}\n", finding);
+        }
+        fmt::print("served {} statements, {} commits, {} promotions, {} promises broken\n", served_,
+                   model_.acknowledged().size(), model_.promotions(), all.size());
+        return all.empty() ? 0 : 1;
+    }
+
+    struct sent_statement {
+        time_point sent_at;
+        std::string database;
+        std::vector<std::string> own_writes;
+    };
+
+    std::string program_;
+    std::mt19937_64 random_;
+    duration length_;
+    event_loop loop_;
+    platform::turn_flusher flusher_;
+    service_model model_;
+    line_instances instances_;
+    http_platform http_;
+    std::uint16_t store_port_ = 0;
+    std::map<std::string, std::uint16_t> ports_;
+    std::map<std::string, bool> listed_primary_;
+    std::vector<daemon_process> daemons_;
+    std::vector<std::unique_ptr<soak_client>> clients_;
+    std::map<std::string, sent_statement> reads_;
+    std::map<std::string, std::string> stale_;
+    std::vector<std::string> findings_;
+    std::uint64_t newest_token_ = 0;
+    std::uint64_t last_id_ = 0;
+    std::uint64_t served_ = 0;
+    std::uint64_t served_at_the_end_ = 0;
+    time_point start_;
+};
+
+} // namespace
+
+int main(int count, char** arguments) {
+    if (count < 3) {
+        fmt::print(stderr, "usage: gentianhill_soak PROGRAM SEED [SECONDS]\n");
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::uint64_t seed = std::strtoull(arguments[2], nullptr, 10);
+    const duration length = std::chrono::seconds(count > 3 ? std::atoi(arguments[3]) : 20);
+    return soak(arguments[1], seed, length).run();
+}
