--- a/gentianhill/failover/duty_lease.h
+++ b/gentianhill/failover/duty_lease.h
@@ -15,11 +15,11 @@
 /// Times of the lease on the failover duty.
 struct duty_lease_settings {
     /// Time from the sending of a claim for which its holder may act.
-    duration tenure = std::chrono::milliseconds(4000);
+    duration tenure = std::chrono::milliseconds(2500);
     /// Time after which a claim that nobody released may be taken over, counted from when it was first seen
-    /// here. It exceeds `tenure` by more than a call can take, so that two holders never act at the same
-    /// time.
-    duration takeover_after = std::chrono::milliseconds(5500);
+    /// here. It exceeds `tenure` by more than a call to the platform can be under way (0.8 s), so that a
+    /// call of the former holder never arrives after one of the next.
+    duration takeover_after = std::chrono::milliseconds(3500);
     /// Shortest time between the turns of two holders; zero when the platform asks for none.
     duration turn_spacing{0};
 };
--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -218,13 +218,15 @@
 void client_session::run_unpinned(const statement& next) {
     statement_task::request request = make_request(next);
     database_group* group = transaction_ ? transaction_->group : nullptr;
+    group_name_ = group != nullptr ? group->name() : group_name_;
     if (!transaction_) {
         request.through = environment_.find_route(database_);
         if (request.through == nullptr) {
             fail(statement_outcome::unknown_database, database_);
             return;
         }
-        group = environment_.find_group(request.through->group);
+        group_name_ = request.through->group;
+        group = environment_.find_group(group_name_);
         if (group == nullptr) {
             fail(statement_outcome::busy, "no instance is known");
             return;
@@ -477,6 +479,7 @@
         log_.write(log_level::info, "statement", "refused",
                    {{"id", current_.id},
                     {"database", database_},
+                    {"group", group_name_},
                     {"outcome", to_string(result.outcome)},
                     {"detail", result.detail},
                     {"ms", to_milliseconds(environment_.now() - received_at_)}});
--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -94,6 +94,8 @@
     [[nodiscard]] statement_task::request make_request(const statement& next) const;
 
     std::string database_;
+    /// Group of the last statement that needed one, for logs.
+    std::string group_name_;
     const session_environment& environment_;
     logger& log_;
     proxy_counters& counters_;
--- a/gentianhill_cli/tool.cpp
+++ b/gentianhill_cli/tool.cpp
@@ -1,6 +1,7 @@
 #include "gentianhill_cli/tool.h"
 
 #include "gentianhill_cli/check_commands.h"
+#include "gentianhill_cli/explain_command.h"
 #include "gentianhill_cli/request_commands.h"
 #include "gentianhill_cli/ticket_commands.h"
 #include "gentianhill_cli/timeline_commands.h"
@@ -172,8 +173,8 @@
 
 std::vector<command> tool_commands() {
     std::vector<command> result;
-    for (std::vector<command> family :
-         {ticket_commands(), view_commands(), request_commands(), timeline_commands(), check_commands()}) {
+    for (std::vector<command> family : {ticket_commands(), view_commands(), request_commands(),
+                                        timeline_commands(), check_commands(), explain_commands()}) {
         std::move(family.begin(), family.end(), std::back_inserter(result));
     }
     return result;
