--- a/gentianhill/core/daemon_settings.cpp
+++ b/gentianhill/core/daemon_settings.cpp
@@ -44,19 +44,6 @@
     return result;
 }
 
-setting_definition make_integer(const char* name, std::int64_t value, std::int64_t low, std::int64_t high,
-                                const char* unit, const char* help) {
-    setting_definition result;
-    result.name = name;
-    result.type = setting_type::integer;
-    result.default_value = std::to_string(value);
-    result.low = low;
-    result.high = high;
-    result.unit = unit;
-    result.help = help;
-    return result;
-}
-
 std::vector<setting_definition> make_definitions() {
     setting_definition peers;
     peers.name = "peers";
@@ -82,31 +69,35 @@
                     "Key that signs session tokens; the same on all daemons of a deployment."),
         make_secret("token_previous_key", false,
                     "Previous token key, still accepted while a new key is introduced."),
-        make_integer("entry_hosts", 5, 1, 64, "",
-                     "Entry hosts among which the connections of each instance are shared."),
-        make_integer("confirm_stall_limit_ms", 1000, 100, 60'000, "ms",
-                     "Time without acknowledgement from a majority after which new writes are rejected."),
-        make_integer("default_deadline_ms", 2000, 10, 600'000, "ms",
-                     "Deadline of a request that gives none."),
-        make_integer("max_deadline_ms", 60'000, 10, 600'000, "ms",
-                     "Longest deadline that a request may give."),
-        make_integer("key_retention_s", 86'400, 60, 2'592'000, "s",
-                     "Time for which an idempotency key protects against duplicates."),
-        make_integer("drain_limit_s", 30, 1, 600, "s", "Longest time that a planned stop may take."),
-        make_integer("probe_interval_ms", 200, 10, 10'000, "ms", "Time between probes of a silent instance."),
-        make_integer("suspect_after_ms", 800, 50, 60'000, "ms",
-                     "Silence of a primary after which it is suspected; at least two probe intervals."),
-        make_integer("queue_capacity", 1000, 1, 1'000'000, "requests",
-                     "Requests that may wait for a connection, per group."),
-        make_integer("retry_budget_percent", 10, 0, 50, "%", "Retries as a share of requests."),
-        make_integer("concurrent_connects", 2, 1, 16, "",
-                     "Connections that are opened to one instance at the same time."),
-        make_integer("connect_timeout_ms", 1000, 10, 60'000, "ms",
-                     "Longest time for a connection to be established."),
+        make_integer_setting("entry_hosts", 5, 1, 64, "",
+                             "Entry hosts among which the connections of each instance are shared."),
+        make_integer_setting(
+            "confirm_stall_limit_ms", 1000, 100, 60'000, "ms",
+            "Time without acknowledgement from a majority after which new writes are rejected."),
+        make_integer_setting("default_deadline_ms", 2000, 10, 600'000, "ms",
+                             "Deadline of a request that gives none."),
+        make_integer_setting("max_deadline_ms", 60'000, 10, 600'000, "ms",
+                             "Longest deadline that a request may give."),
+        make_integer_setting("key_retention_s", 86'400, 60, 2'592'000, "s",
+                             "Time for which an idempotency key protects against duplicates."),
+        make_integer_setting("drain_limit_s", 30, 1, 600, "s", "Longest time that a planned stop may take."),
+        make_integer_setting("probe_interval_ms", 200, 10, 10'000, "ms",
+                             "Time between probes of a silent instance."),
+        make_integer_setting(
+            "suspect_after_ms", 800, 50, 60'000, "ms",
+            "Silence of a primary after which it is suspected; at least two probe intervals."),
+        make_integer_setting("queue_capacity", 1000, 1, 1'000'000, "requests",
+                             "Requests that may wait for a connection, per group."),
+        make_integer_setting("retry_budget_percent", 10, 0, 50, "%", "Retries as a share of requests."),
+        make_integer_setting("concurrent_connects", 2, 1, 16, "",
+                             "Connections that are opened to one instance at the same time."),
+        make_integer_setting("connect_timeout_ms", 1000, 10, 60'000, "ms",
+                             "Longest time for a connection to be established."),
         level,
-        make_integer("log_repeats_per_second", 20, 1, 10'000, "lines",
-                     "Log lines of one event per second; further ones are counted and summarised."),
-        make_integer("timeline_capacity", 20'000, 100, 200'000, "events", "Events kept in the timeline."),
+        make_integer_setting("log_repeats_per_second", 20, 1, 10'000, "lines",
+                             "Log lines of one event per second; further ones are counted and summarised."),
+        make_integer_setting("timeline_capacity", 20'000, 100, 200'000, "events",
+                             "Events kept in the timeline."),
     };
 }
 
--- a/gentianhill/core/setting_definition.cpp
+++ b/gentianhill/core/setting_definition.cpp
@@ -73,6 +73,19 @@
     return {};
 }
 
+setting_definition make_integer_setting(std::string_view name, std::int64_t value, std::int64_t low,
+                                        std::int64_t high, std::string_view unit, std::string_view help) {
+    setting_definition result;
+    result.name = name;
+    result.type = setting_type::integer;
+    result.default_value = std::to_string(value);
+    result.low = low;
+    result.high = high;
+    result.unit = unit;
+    result.help = help;
+    return result;
+}
+
 std::string settings_help(std::span<const setting_definition> definitions) {
     boost::program_options::options_description description{"Settings"};
     for (const setting_definition& definition : definitions) {
--- a/gentianhill/core/setting_definition.h
+++ b/gentianhill/core/setting_definition.h
@@ -42,6 +42,11 @@
     [[nodiscard]] std::string allowed() const;
 };
 
+/// Definition of an integer setting with a default and a range, both ends included.
+[[nodiscard]] setting_definition make_integer_setting(std::string_view name, std::int64_t value,
+                                                      std::int64_t low, std::int64_t high,
+                                                      std::string_view unit, std::string_view help);
+
 /// Help text with one flag per setting.
 [[nodiscard]] std::string settings_help(std::span<const setting_definition> definitions);
 
--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -50,8 +50,6 @@
     void end_transaction();
     /// True when no statement is under way or queued and no transaction is open.
     [[nodiscard]] bool is_idle() const { return !busy_ && queue_.empty() && !transaction_; }
-    /// True when no statement is under way or queued.
-    [[nodiscard]] bool is_waiting_for_client() const { return !busy_ && queue_.empty(); }
 
 private:
     struct open_transaction {
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -19,11 +19,6 @@
 /// Silence of the primary after which it is probed, when it owes an answer and when it owes none.
 constexpr duration probe_after_unanswered = 200ms;
 constexpr duration probe_after_idle = 1000ms;
-/// Time without a primary that is expected before one was seen.
-constexpr duration initial_gap = 1600ms;
-/// Bounds of what is learned from one gap; a longer one was held up by something else.
-constexpr duration min_gap = 400ms;
-constexpr duration max_gap = 3000ms;
 /// Pause between questions whether the remaining replicas hold what a departed one may have held alone.
 constexpr duration settle_pause = 200ms;
 /// Replicas that a group must have for their logs to stand for the primary's.
@@ -66,8 +61,7 @@
       settings_(settings),
       clock_(std::move(clock)),
       trust_(settings.trust_window),
-      watch_(settings.watch),
-      expected_gap_(initial_gap) {
+      watch_(settings.watch) {
     watch_.reset(false, now());
     settlement_.unsettle(now());
 }
@@ -448,7 +442,7 @@
 void database_group::on_status(proxy_instance& instance, const instance_status& status, time_point sent_at) {
     const std::string& id = instance.listed().id;
     if (id != primary_id_) {
-        on_replica_point(id, status, sent_at);
+        on_replica_log(id, status, sent_at);
         // A leaving replica will be gone in its turn.
         if (!status.is_primary && !instance.listed().draining &&
             settlement_.on_replica_position(status.received)) {
@@ -549,59 +543,24 @@
 }
 
 void database_group::want_replica_point() {
-    const time_point current = now();
-    if (replica_logs_since_ && current - *replica_logs_since_ < status_timeout) {
-        return;
-    }
-    replica_logs_since_ = current;
-    replica_logs_.clear();
-    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
-        if (entry.first != primary_id_) {
-            ask_status(*entry.second);
-        }
+    if (survey_of_logs_.start(now(), status_timeout)) {
+        ask_others();
     }
 }
 
-void database_group::on_replica_point(const std::string& id, const instance_status& status,
-                                      time_point sent_at) {
-    if (!replica_logs_since_ || sent_at < *replica_logs_since_) {
-        return;
-    }
-    replica_logs_.insert_or_assign(id, status.received);
-    log_position longest;
-    std::size_t replicas = 0;
+void database_group::on_replica_log(const std::string& id, const instance_status& status,
+                                    time_point sent_at) {
+    std::vector<std::string> replicas;
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
-        if (entry.first == primary_id_) {
-            continue;
-        }
-        const std::map<std::string, log_position>::iterator found = replica_logs_.find(entry.first);
-        if (found == replica_logs_.end()) {
-            return;
-        }
-        longest = std::max(longest, found->second);
-        ++replicas;
-    }
-    const time_point since = *replica_logs_since_;
-    replica_logs_since_.reset();
-    // A commit is acknowledged when one replica has received it, so the longest of all logs holds every one.
-    if (replicas >= min_replicas && rule_.sync_replicas > 0 && settlement_.is_settled()) {
-        replica_points_.add(longest, since);
-        pump();
-    }
-}
-
-void database_group::note_leader(bool serves) {
-    const time_point current = now();
-    if (!serves) {
-        if (!leaderless_since_) {
-            leaderless_since_ = current;
+        if (entry.first != primary_id_) {
+            replicas.push_back(entry.first);
         }
-        return;
     }
-    if (leaderless_since_) {
-        const duration gap = std::clamp(current - *leaderless_since_, min_gap, max_gap);
-        expected_gap_ = (expected_gap_ + gap) / 2;
-        leaderless_since_.reset();
+    const std::optional<replica_log_survey::point> found =
+        survey_of_logs_.on_answer(id, status.received, sent_at, replicas);
+    if (found && found->replicas >= min_replicas && rule_.sync_replicas > 0 && settlement_.is_settled()) {
+        replica_points_.add(found->longest, found->asked_at);
+        pump();
     }
 }
 
@@ -654,7 +613,7 @@
     }
     probe_primary(current);
     proxy_instance* leader = primary();
-    note_leader(leader != nullptr && leader->is_usable());
+    gap_.note(leader != nullptr && leader->is_usable(), current);
     if (leader != nullptr) {
         const std::optional<time_point> commit = leader->commit_waiting_since();
         if (commit) {
@@ -753,10 +712,7 @@
 }
 
 std::optional<time_point> database_group::primary_expected_at() const {
-    if (!leaderless_since_) {
-        return std::nullopt;
-    }
-    return *leaderless_since_ + expected_gap_;
+    return gap_.expected_end();
 }
 
 bool database_group::may_start_second_read() {
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -2,10 +2,12 @@
 
 #include "gentianhill/core/logger.h"
 #include "gentianhill/core/metrics.h"
+#include "gentianhill/failover/leaderless_gap.h"
 #include "gentianhill/failover/membership_settlement.h"
 #include "gentianhill/failover/primary_watch.h"
 #include "gentianhill/freshness/primary_trust.h"
 #include "gentianhill/freshness/read_points.h"
+#include "gentianhill/freshness/replica_log_survey.h"
 #include "gentianhill/proxy/placement.h"
 #include "gentianhill/proxy/proxy_instance.h"
 #include "gentianhill/proxy/statement_task.h"
@@ -126,8 +128,6 @@
     [[nodiscard]] std::optional<time_point> primary_expected_at() const;
     /// Takes one from the budget of second reads.
     [[nodiscard]] bool may_start_second_read();
-    /// Statements that wait for a connection.
-    [[nodiscard]] std::size_t waiting_count() const { return waiting_.size(); }
     /// Logs an attempt that did not succeed.
     void log_failed_attempt(const std::string& id, const std::string& instance, statement_outcome outcome,
                             std::uint32_t attempt);
@@ -153,11 +153,10 @@
     /// Asks every replica for the end of its log; the longest covers all acknowledged commits without the
     /// primary.
     void want_replica_point();
-    void on_replica_point(const std::string& id, const instance_status& status, time_point sent_at);
+    void on_replica_log(const std::string& id, const instance_status& status, time_point sent_at);
     void ask_others();
     void settle(time_point current);
     void look_for_proof(time_point current);
-    void note_leader(bool serves);
     [[nodiscard]] std::optional<log_position> find_point(time_point oldest) const;
     /// Places a read that must see every commit, while no primary serves.
     [[nodiscard]] placement place_latest_read(const placement_query& query);
@@ -186,8 +185,7 @@
     read_points points_;
     /// Points from the logs of all replicas; they hold whoever leads.
     read_points replica_points_;
-    std::map<std::string, log_position> replica_logs_;
-    std::optional<time_point> replica_logs_since_;
+    replica_log_survey survey_of_logs_;
     membership_settlement settlement_;
     time_point last_settle_question_;
     primary_watch watch_;
@@ -199,9 +197,7 @@
     /// Status calls under way, by instance.
     std::map<std::string, time_point> asked_;
     std::optional<time_point> evidence_wanted_;
-    /// Time from which the group has had no usable primary.
-    std::optional<time_point> leaderless_since_;
-    duration expected_gap_;
+    leaderless_gap gap_;
     /// First refusal for want of anything that could serve, since the last proof to the contrary.
     std::optional<time_point> hopeless_since_;
     time_point last_survey_;
--- a/gentianhill/proxy/failover_driver.cpp
+++ b/gentianhill/proxy/failover_driver.cpp
@@ -99,10 +99,11 @@
 
 promotion_hooks failover_driver::make_hooks() {
     promotion_hooks hooks;
-    hooks.ask_status = [this](const std::string& id, promotion_hooks::answer_handler done) {
+    hooks.ask_status = [this](const std::string& id, const promotion_hooks::answer_handler& done) {
         ask(id, command_kind::status, 0, done);
     };
-    hooks.fence = [this](const std::string& id, term_number term, promotion_hooks::answer_handler done) {
+    hooks.fence = [this](const std::string& id, term_number term,
+                         const promotion_hooks::answer_handler& done) {
         ask(id, command_kind::fence, term, done);
     };
     hooks.unfence = [this](const std::string& id) { tell(id, command_kind::unfence, 0); };
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -17,19 +17,6 @@
     return result;
 }
 
-setting_definition make_number(const char* name, std::int64_t value, std::int64_t low, std::int64_t high,
-                               const char* unit, const char* help) {
-    setting_definition result;
-    result.name = name;
-    result.type = setting_type::integer;
-    result.default_value = std::to_string(value);
-    result.low = low;
-    result.high = high;
-    result.unit = unit;
-    result.help = help;
-    return result;
-}
-
 std::vector<setting_definition> make_definitions() {
     std::vector<setting_definition> result;
     result.push_back(
@@ -41,19 +28,22 @@
     result.push_back(make_text("store", setting_type::address, "Address of the metadata store."));
     result.push_back(make_text("promotion_service", setting_type::address,
                                "Address of the service that promotes instances."));
-    result.push_back(make_number("daemons", 4, 1, 10'000, "daemons",
-                                 "Daemons among which the connections of each instance are shared."));
-    result.push_back(make_number("grace_s", 6, 1, 600, "s", "Time from the request to stop until the end."));
-    result.push_back(make_number("turn_spacing_ms", 0, 0, 600'000, "ms",
-                                 "Shortest time between the turns of two holders of the failover duty."));
     result.push_back(
-        make_number("trust_window_ms", 400, 50, 10'000, "ms",
-                    "Time for which a primary is trusted after evidence. The same on all daemons: a "
-                    "promotion waits for longer."));
+        make_integer_setting("daemons", 4, 1, 10'000, "daemons",
+                             "Daemons among which the connections of each instance are shared."));
+    result.push_back(
+        make_integer_setting("grace_s", 6, 1, 600, "s", "Time from the request to stop until the end."));
+    result.push_back(
+        make_integer_setting("turn_spacing_ms", 0, 0, 600'000, "ms",
+                             "Shortest time between the turns of two holders of the failover duty."));
+    result.push_back(
+        make_integer_setting("trust_window_ms", 400, 50, 10'000, "ms",
+                             "Time for which a primary is trusted after evidence. The same on all daemons: a "
+                             "promotion waits for longer."));
     result.push_back(
-        make_number("silence_limit_ms", 4000, 1500, 60'000, "ms",
-                    "Time in which a connection to the store that has gone silent must be noticed. "
-                    "Longer ones cost fewer calls."));
+        make_integer_setting("silence_limit_ms", 4000, 1500, 60'000, "ms",
+                             "Time in which a connection to the store that has gone silent must be noticed. "
+                             "Longer ones cost fewer calls."));
     setting_definition level;
     level.name = "log_level";
     level.type = setting_type::choice;
@@ -61,8 +51,8 @@
     level.choices = {"debug", "info", "warning", "error"};
     level.help = "Lowest level of log lines.";
     result.push_back(std::move(level));
-    result.push_back(make_number("log_repeats_per_second", 20, 1, 10'000, "lines",
-                                 "Log lines of one event per second; further ones are counted."));
+    result.push_back(make_integer_setting("log_repeats_per_second", 20, 1, 10'000, "lines",
+                                          "Log lines of one event per second; further ones are counted."));
     return result;
 }
 
--- a/tests/proxy/failover_tests.cpp
+++ b/tests/proxy/failover_tests.cpp
@@ -26,6 +26,19 @@
         return limit;
     }
 
+    /// One zone holds the primary, a leaving replica i-4 and the first daemon; the rest is outside.
+    void cut_zone_with_leaving_replica() {
+        for (const char* outside : {"i-2", "i-3"}) {
+            deployment.service.set_cut("i-1", outside, true);
+            deployment.service.set_cut("i-4", outside, true);
+            deployment.cut(0, outside, true);
+        }
+        for (const char* inside : {"i-1", "i-4"}) {
+            deployment.cut(1, inside, true);
+        }
+        deployment.store.cut_hosts.insert(simulated_deployment::host_name(0));
+    }
+
     void check_tokens_rise() const {
         std::uint64_t last = 0;
         for (const std::pair<std::string, std::uint64_t>& call : deployment.promote_calls) {
@@ -187,16 +200,7 @@
     deployment.service.add("i-4");
     deployment.list("i-4", true);
     deployment.run_for(1s);
-    // One zone holds the primary, the leaving replica and one daemon; the other replicas are outside.
-    for (const char* outside : {"i-2", "i-3"}) {
-        deployment.service.set_cut("i-1", outside, true);
-        deployment.service.set_cut("i-4", outside, true);
-        deployment.cut(0, outside, true);
-    }
-    for (const char* inside : {"i-1", "i-4"}) {
-        deployment.cut(1, inside, true);
-    }
-    deployment.store.cut_hosts.insert(simulated_deployment::host_name(0));
+    cut_zone_with_leaving_replica();
     std::unique_ptr<simulated_client> client = deployment.connect(0, "own");
     const std::string write = client->send("WRITE a 1");
     deployment.run_for(500ms);
@@ -226,15 +230,7 @@
     deployment.service.add("i-4");
     deployment.list("i-4", true);
     deployment.run_for(4s);
-    for (const char* outside : {"i-2", "i-3"}) {
-        deployment.service.set_cut("i-1", outside, true);
-        deployment.service.set_cut("i-4", outside, true);
-        deployment.cut(0, outside, true);
-    }
-    for (const char* inside : {"i-1", "i-4"}) {
-        deployment.cut(1, inside, true);
-    }
-    deployment.store.cut_hosts.insert(simulated_deployment::host_name(0));
+    cut_zone_with_leaving_replica();
     {
         std::unique_ptr<simulated_client> client = deployment.connect(0, "own");
         const std::string write = client->send("WRITE a 1");
--- a/tests/proxy/session_tests.cpp
+++ b/tests/proxy/session_tests.cpp
@@ -82,7 +82,9 @@
     client->leave();
     std::unique_ptr<simulated_client> next = deployment.connect(0, "own");
     std::vector<std::string> ids;
-    for (int round = 0; round < 10; ++round) {
+    constexpr int writes = 10;
+    ids.reserve(writes);
+    for (int round = 0; round < writes; ++round) {
         ids.push_back(next->send("WRITE b 2"));
     }
     deployment.run_for(1s);
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -193,7 +193,7 @@
     next.id = "s" + std::to_string(++last);
     sent_.push_back(next.id);
     order_.push_back(next.id);
-    const std::string id = next.id;
+    std::string id = next.id;
     session_->submit(std::move(next));
     return id;
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -43,10 +43,10 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    bind(probe, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+    const bool bound = bind(probe, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+                       getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size) == 0;
     close(probe);
-    return ntohs(address.sin_port);
+    return bound ? ntohs(address.sin_port) : 0;
 }
 
 struct daemon_process {
@@ -172,6 +172,7 @@
         started.pid = fork();
         if (started.pid == 0) {
             std::vector<char*> arguments;
+            arguments.reserve(flags.size() + 1);
             for (const std::string& flag : flags) {
                 arguments.push_back(const_cast<char*>(flag.c_str()));
             }
