Release only replicas that follow, and look for returned instances before the call

Reading the promotion for ways in which an unfenced replica can vouch for a superseded primary found two: after a promotion every other replica was released, also one that did not follow yet; and an instance that came back between fence and call was neither fenced nor known.

Change: only replicas at the new term are released; the members are listed again before the last look, and an unknown one ends the attempt, which the next one then fences.

--- a/gentianhill/failover/fenced_promotion.cpp
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -168,13 +168,20 @@
         });
 }
 
+bool fenced_promotion::is_known(const promotion_member& member) const {
+    return member.id == old_primary_ ||
+           std::any_of(replicas_.begin(), replicas_.end(),
+                       [&member](const promotion_member& replica) { return replica.id == member.id; });
+}
+
+bool fenced_promotion::has_unknown_member(const std::vector<promotion_member>& listed) const {
+    return std::any_of(listed.begin(), listed.end(),
+                       [this](const promotion_member& member) { return !is_known(member); });
+}
+
 void fenced_promotion::add_unknown_members(const std::vector<promotion_member>& listed) {
     for (const promotion_member& member : listed) {
-        const bool known =
-            member.id == old_primary_ ||
-            std::any_of(replicas_.begin(), replicas_.end(),
-                        [&member](const promotion_member& replica) { return replica.id == member.id; });
-        if (!known) {
+        if (!is_known(member)) {
             replicas_.push_back(member);
         }
     }
@@ -210,7 +217,17 @@
 }
 
 void fenced_promotion::verify() {
-    ask_all(false, &fenced_promotion::on_verified);
+    // An instance that has come back meanwhile is not fenced, and the old primary may commit through it.
+    hooks_.list_members(
+        [self = shared_from_this()](const std::optional<std::vector<promotion_member>>& listed) {
+            if (!listed) {
+                self->finish(promotion_end::members_unknown);
+            } else if (self->has_unknown_member(*listed)) {
+                self->finish(promotion_end::fence_lost);
+            } else {
+                self->ask_all(false, &fenced_promotion::on_verified);
+            }
+        });
 }
 
 void fenced_promotion::on_verified() {
@@ -308,6 +325,25 @@
     wait_for_effect();
 }
 
+void fenced_promotion::release_followers() {
+    for (const promotion_member& replica : replicas_) {
+        if (replica.id == chosen_) {
+            continue;
+        }
+        // One that does not follow yet would receive from the old primary again, and be taken for a witness.
+        hooks_.ask_status(replica.id, [self = shared_from_this(),
+                                       id = replica.id](const std::optional<member_answer>& answer) {
+            const bool follows = answer && answer->status.term >= self->fence_term_;
+            if (follows && answer->status.fenced_term != 0) {
+                self->hooks_.unfence(id);
+            }
+            self->log_.write(log_level::info, "failover",
+                             follows ? "replica_follows" : "replica_stays_fenced",
+                             {{"group", self->group_}, {"instance", id}, {"answered", answer.has_value()}});
+        });
+    }
+}
+
 void fenced_promotion::take_back_fences() {
     // Without the duty, somebody else may rely on these fences by now.
     if (!lease_.is_held()) {
@@ -327,11 +363,7 @@
         if (!old_primary_.empty()) {
             hooks_.step_down(old_primary_, fence_term_);
         }
-        for (const promotion_member& replica : replicas_) {
-            if (replica.id != chosen_) {
-                hooks_.unfence(replica.id);
-            }
-        }
+        release_followers();
     } else if (!may_take_effect && fence_term_ != 0) {
         take_back_fences();
     }
--- a/gentianhill/failover/fenced_promotion.h
+++ b/gentianhill/failover/fenced_promotion.h
@@ -132,10 +132,14 @@
     void wait_for_effect();
     void on_effect_status(const std::optional<member_answer>& answer);
     void finish(promotion_end end);
+    /// Releases the replicas that follow the new primary; the others stay fenced.
+    void release_followers();
     void take_back_fences();
     /// Asks all replicas and goes on with `next` once each has answered; ends the promotion when one does
     /// not.
     void ask_all(bool fence, void (fenced_promotion::*next)());
+    [[nodiscard]] bool is_known(const promotion_member& member) const;
+    [[nodiscard]] bool has_unknown_member(const std::vector<promotion_member>& listed) const;
     void add_unknown_members(const std::vector<promotion_member>& listed);
     [[nodiscard]] log_position longest_log() const;
     [[nodiscard]] std::string longest_replica() const;
--- a/tests/proxy/failover_tests.cpp
+++ b/tests/proxy/failover_tests.cpp
@@ -276,3 +276,49 @@
     CHECK(time_to_write(0, failover_target) < failover_target);
     CHECK(deployment.service.violations().empty());
 }
+
+// Guards against a replica that has not followed the new primary being released: the old primary would
+// acknowledge commits through it, and daemons would take it for a witness. Found by hunting
+// rimworks-kyushu-grown, trouble-3
+// --seed 348984650762 (rule STALE).
+TEST_CASE_FIXTURE(failover_fixture, "failover_replica_that_does_not_follow_yet_stays_fenced") {
+    deployment.service.set_cut("i-2", "i-3", true);
+    deployment.cut(0, "i-1", true);
+    deployment.cut(1, "i-2", true);
+    deployment.store.cut_hosts.insert(simulated_deployment::host_name(1));
+    std::unique_ptr<simulated_client> writer = deployment.connect(1, "own");
+    std::unique_ptr<simulated_client> trigger = deployment.connect(0, "own");
+    for (int step = 0; step < 400; ++step) {
+        if (writer->unanswered() == 0) {
+            writer->send("WRITE a 1");
+        }
+        if (trigger->unanswered() == 0) {
+            trigger->send("WRITE b 1");
+        }
+        deployment.run_for(25ms);
+    }
+    CHECK(deployment.service.promotions() > 0);
+    CHECK(deployment.service.violations().empty());
+}
+
+// Guards against an instance that comes back between the fence and the call, and is neither fenced nor known
+// to the promotion: the old primary could acknowledge commits through it.
+TEST_CASE_FIXTURE(failover_fixture,
+                  "failover_instance_that_returns_after_the_fence_is_fenced_before_the_call") {
+    deployment.service.set_up("i-3", false);
+    deployment.unlist("i-3");
+    deployment.run_for(4s);
+    deployment.service.set_up("i-1", false);
+    for (int step = 0; step < 400 && deployment.service.fenced_term("i-2") == 0; ++step) {
+        deployment.run_for(25ms);
+    }
+    REQUIRE(deployment.service.fenced_term("i-2") > 0);
+    deployment.service.set_up("i-3", true);
+    deployment.list("i-3", false);
+    for (int step = 0; step < 8000 && deployment.promote_calls.empty(); ++step) {
+        deployment.clock.run_for(1ms);
+    }
+    REQUIRE(!deployment.promote_calls.empty());
+    CHECK(deployment.service.fenced_term("i-3") > 0);
+    CHECK(deployment.service.violations().empty());
+}
