Count the platform's own time for a promotion toward the trust window

Cause: evidence that may lapse costs two status calls to obtain again, and at 400 ms it lapsed between most statements of one daemon.

So trust may last longer than the wait between fence and call: 600 ms with 200 ms (promotion_delay_ms) granted to the platform. The wait itself stays 430 ms.

--- a/gentianhill/failover/fenced_promotion.h
+++ b/gentianhill/failover/fenced_promotion.h
@@ -18,7 +18,8 @@
 
 /// Times of one promotion.
 struct fenced_promotion_settings {
-    /// Time for which any proxy may trust a primary after evidence, with a margin for timers.
+    /// Time from the last fence to the call. With the time that the platform takes after the call, it exceeds
+    /// that for which any proxy may trust a primary after evidence, by a margin for timers.
     duration trust_wait = std::chrono::milliseconds(430);
     /// Time after which an accepted promotion that has not taken effect is given up.
     duration effect_limit = std::chrono::milliseconds(4000);
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -31,8 +31,9 @@
 struct database_group_settings {
     /// Availability zone of this proxy; its instances are preferred, since bytes between zones are dear.
     std::string zone;
-    /// Time for which a primary is trusted after evidence; a promotion waits for longer.
-    duration trust_window = std::chrono::milliseconds(400);
+    /// Time for which a primary is trusted after evidence; a promotion takes effect later than that after its
+    /// fences.
+    duration trust_window = std::chrono::milliseconds(600);
     /// Subtracted from the staleness that a route allows, for the way of the answer.
     duration staleness_margin = std::chrono::milliseconds(100);
     /// Added to the expected time at an instance of another zone, in ms.
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -1,5 +1,6 @@
 #include "gentianhill/proxy/proxy_setting_definitions.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 #include <vector>
@@ -37,9 +38,13 @@
         make_integer_setting("turn_spacing_ms", 0, 0, 600'000, "ms",
                              "Shortest time between the turns of two holders of the failover duty."));
     result.push_back(
-        make_integer_setting("trust_window_ms", 400, 50, 10'000, "ms",
+        make_integer_setting("trust_window_ms", 600, 50, 10'000, "ms",
                              "Time for which a primary is trusted after evidence. The same on all daemons: a "
-                             "promotion waits for longer."));
+                             "promotion takes effect later than that after its fences."));
+    result.push_back(
+        make_integer_setting("promotion_delay_ms", 200, 0, 10'000, "ms",
+                             "Shortest time from a promotion call to its effect. The same on all daemons; a "
+                             "promotion waits for the rest of the trust window before its call."));
     result.push_back(
         make_integer_setting("silence_limit_ms", 4000, 1500, 60'000, "ms",
                              "Time in which a connection to the store that has gone silent must be noticed. "
@@ -82,7 +87,9 @@
     result.proxy.grace = std::chrono::seconds(values.integer("grace_s"));
     result.proxy.lease.turn_spacing = std::chrono::milliseconds(values.integer("turn_spacing_ms"));
     result.proxy.group.trust_window = std::chrono::milliseconds(values.integer("trust_window_ms"));
-    result.proxy.failover.promotion.trust_wait = result.proxy.group.trust_window + trust_margin;
+    const duration promotion_delay = std::chrono::milliseconds(values.integer("promotion_delay_ms"));
+    result.proxy.failover.promotion.trust_wait =
+        std::max(result.proxy.group.trust_window - promotion_delay, duration(0)) + trust_margin;
     result.proxy.watch.wait = std::chrono::milliseconds(values.integer("silence_limit_ms")) - call_margin;
     result.client_listen = address_of(values, "client_listen");
     result.admin_listen = address_of(values, "admin_listen");
