--- a/tests/failover/duty_lease_tests.cpp
+++ b/tests/failover/duty_lease_tests.cpp
@@ -149,3 +149,38 @@
     CHECK(!claim(*lease, &refusal));
     CHECK(refusal == claim_refusal::held_by_other);
 }
+
+// Guards against a daemon that trusts a primary although a promotion is on its way, and against a record that
+// another group's claim wipes out.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_record_shows_promoted_terms_and_those_that_may_be") {
+    const std::unique_ptr<duty_lease> lease = make("a", "1");
+    const auto read = [&lease](const std::string& group) {
+        std::optional<term_number> result;
+        lease->read_term(group, [&result](std::optional<term_number> term) { result = term; });
+        return result;
+    };
+    CHECK(read("test") == term_number{0});
+    REQUIRE(claim(*lease));
+    CHECK(read("test") == term_number{2});
+    lease->release(2);
+    lease->claim("other", 7, [](std::optional<std::uint64_t>, claim_refusal) {});
+    CHECK(read("other") == term_number{7});
+    CHECK(read("test") == term_number{2});
+    lease->release(std::nullopt);
+    CHECK(read("other") == term_number{0});
+    CHECK(read("test") == term_number{2});
+}
+
+// Guards against a holder that claims the duty again while what it ordered may still be on its way.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_abandoned_is_claimed_by_nobody_before_the_takeover") {
+    const std::unique_ptr<duty_lease> first = make("a", "1");
+    const std::unique_ptr<duty_lease> second = make("b", "1");
+    REQUIRE(claim(*first));
+    CHECK(!claim(*second));
+    first->abandon();
+    CHECK(!first->is_held());
+    CHECK(!claim(*first));
+    CHECK(!claim(*second));
+    current += duty_lease_settings{}.takeover_after;
+    CHECK(claim(*first));
+}
--- /dev/null
+++ b/tests/failover/fenced_promotion_tests.cpp
@@ -0,0 +1,217 @@
+#include "gentianhill/failover/fenced_promotion.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace gentianhill;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A promotion of a group with the primary p and the replicas a and b, step by step in simulated time.
+struct promotion_fixture {
+    time_point current{100s};
+    std::optional<stored_object> object;
+    std::uint64_t revision = 0;
+    store_port store;
+    logger log;
+    std::unique_ptr<duty_lease> lease;
+    std::vector<std::pair<time_point, std::function<void()>>> later;
+
+    std::map<std::string, instance_status> statuses;
+    /// Instances that answer nothing to an order to take their fence back.
+    std::set<std::string> deaf_to_unfence;
+    std::vector<std::string> unfenced;
+    std::vector<promote_outcome> call_outcomes{promote_outcome::accepted};
+    std::size_t calls = 0;
+    std::function<void()> on_call;
+    std::optional<promotion_end> end;
+
+    promotion_fixture() {
+        log.sink = [](std::string_view) {};
+        store.get = [this](collection, const std::string&, const store_port::handler& done) {
+            store_answer answer;
+            answer.object = object;
+            answer.outcome = object ? store_outcome::done : store_outcome::not_found;
+            done(answer);
+        };
+        store.put = [this](collection, const stored_object& written, const store_port::handler& done) {
+            object = written;
+            object->revision = ++revision;
+            store_answer answer;
+            answer.outcome = store_outcome::done;
+            answer.object = object;
+            done(answer);
+        };
+        lease = std::make_unique<duty_lease>(store, log, duty_lease_settings{}, "daemon", "1");
+        lease->now = [this] { return current; };
+        for (const char* id : {"a", "b"}) {
+            statuses[id].term = 4;
+            statuses[id].received = {4, 100};
+        }
+    }
+
+    promotion_hooks make_hooks() {
+        promotion_hooks hooks;
+        hooks.ask_status = [this](const std::string& id, const promotion_hooks::answer_handler& done) {
+            done(member_answer{1, statuses[id]});
+        };
+        hooks.fence = [this](const std::string& id, term_number term,
+                             const promotion_hooks::answer_handler& done) {
+            if (statuses[id].term < term) {
+                statuses[id].fenced_term = term;
+            }
+            done(member_answer{1, statuses[id]});
+        };
+        hooks.unfence = [this](const std::string& id, const promotion_hooks::answer_handler& done) {
+            unfenced.push_back(id);
+            if (deaf_to_unfence.count(id) > 0) {
+                done(std::nullopt);
+                return;
+            }
+            statuses[id].fenced_term = 0;
+            done(member_answer{1, statuses[id]});
+        };
+        hooks.step_down = [](const std::string&, term_number) {};
+        hooks.list_members =
+            [](const std::function<void(const std::optional<std::vector<promotion_member>>&)>& done) {
+                done(std::vector<promotion_member>{{"p", false}, {"a", false}, {"b", false}});
+            };
+        hooks.is_settled = [] { return true; };
+        hooks.promote = [this](const std::string&, std::uint64_t,
+                               const std::function<void(promote_outcome)>& done) {
+            const promote_outcome outcome = call_outcomes[std::min(calls, call_outcomes.size() - 1)];
+            ++calls;
+            if (on_call) {
+                on_call();
+            }
+            done(outcome);
+        };
+        hooks.call_after = [this](duration delay, std::function<void()> action) {
+            later.emplace_back(current + delay, std::move(action));
+        };
+        hooks.now = [this] { return current; };
+        return hooks;
+    }
+
+    void run(primary_verdict verdict = primary_verdict::not_committing) {
+        const std::shared_ptr<fenced_promotion> promotion = std::make_shared<fenced_promotion>(
+            "orders", *lease, log, fenced_promotion_settings{}, make_hooks());
+        promotion->start({{"p", false}, {"a", false}, {"b", false}}, "p", 4, verdict, false,
+                         [this](promotion_end result, const std::string&) { end = result; });
+        for (int step = 0; step < 100'000 && !later.empty(); ++step) {
+            const auto next =
+                std::min_element(later.begin(), later.end(), [](const auto& left, const auto& right) {
+                    return left.first < right.first;
+                });
+            const std::function<void()> action = std::move(next->second);
+            current = std::max(current, next->first);
+            later.erase(next);
+            action();
+        }
+        REQUIRE(end);
+    }
+
+    [[nodiscard]] bool duty_is_free() const { return object && !object->content.at("active").get<bool>(); }
+    [[nodiscard]] term_number recorded_term() const {
+        return object->content.at("terms").value("orders", term_number{0});
+    }
+};
+
+} // namespace
+
+// Guards against a record in the store that does not show a promotion.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_is_on_record_before_its_call_and_afterwards") {
+    on_call = [this] {
+        CHECK(recorded_term() == 5);
+        statuses["a"].is_primary = true;
+        statuses["a"].term = 5;
+    };
+    run();
+    CHECK(*end == promotion_end::promoted);
+    CHECK(recorded_term() == 5);
+    CHECK(duty_is_free());
+}
+
+// Guards against a replica that is released although it does not follow the new primary: the old one would
+// acknowledge commits through it.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_leaves_the_fences_after_a_promotion") {
+    on_call = [this] {
+        statuses["a"].is_primary = true;
+        statuses["a"].term = 5;
+    };
+    run();
+    CHECK(*end == promotion_end::promoted);
+    CHECK(unfenced.empty());
+}
+
+// Guards against a replica that is released while another daemon's promotion has taken effect unnoticed.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_superseded_after_the_fence_releases_no_replica") {
+    later.emplace_back(current + 100ms, [this] {
+        statuses["b"].is_primary = true;
+        statuses["b"].term = 5;
+    });
+    run();
+    CHECK(*end == promotion_end::superseded);
+    CHECK(calls == 0);
+    CHECK(unfenced.empty());
+}
+
+// Guards against a second promotion by a daemon that has missed the first.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_replicas_of_a_newer_term_are_left_alone") {
+    statuses["a"].term = 5;
+    statuses["b"].term = 5;
+    run();
+    CHECK(*end == promotion_end::superseded);
+    CHECK(!object);
+    CHECK(statuses["a"].fenced_term == 0);
+}
+
+// Guards against replicas that are released while a call whose answer was lost may still take effect.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_call_refused_after_one_without_an_answer_is_unknown") {
+    call_outcomes = {promote_outcome::unknown, promote_outcome::rejected};
+    run();
+    CHECK(*end == promotion_end::outcome_unknown);
+    CHECK(calls == 2);
+    CHECK(unfenced.empty());
+    CHECK(!duty_is_free());
+    CHECK(recorded_term() == 5);
+    // Nor may this daemon claim the duty again before the call can no longer take effect.
+    claim_refusal refusal = claim_refusal::none;
+    lease->claim("orders", 5,
+                 [&refusal](std::optional<std::uint64_t>, claim_refusal reason) { refusal = reason; });
+    CHECK(refusal == claim_refusal::held_by_other);
+}
+
+// Guards against replicas that stay fenced for ever, and against a record of a promotion that never was.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_that_cannot_take_effect_takes_its_fences_back") {
+    call_outcomes = {promote_outcome::rejected};
+    run();
+    CHECK(*end == promotion_end::call_rejected);
+    CHECK(unfenced == std::vector<std::string>{"a", "b"});
+    CHECK(duty_is_free());
+    CHECK(recorded_term() == 0);
+}
+
+// Guards against an order that arrives late and takes back the fence of the next holder of the duty.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_keeps_the_duty_while_an_order_is_unanswered") {
+    call_outcomes = {promote_outcome::rejected};
+    deaf_to_unfence.insert("b");
+    run();
+    CHECK(*end == promotion_end::call_rejected);
+    CHECK(!duty_is_free());
+}
+
+// Guards against a change of primary when only fences are left over.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_takes_back_fences_that_an_earlier_holder_left") {
+    statuses["b"].fenced_term = 5;
+    run(primary_verdict::replicas_fenced);
+    CHECK(*end == promotion_end::fences_released);
+    CHECK(calls == 0);
+    CHECK(unfenced == std::vector<std::string>{"b"});
+    CHECK(duty_is_free());
+    CHECK(recorded_term() == 4);
+}
--- a/tests/failover/primary_watch_tests.cpp
+++ b/tests/failover/primary_watch_tests.cpp
@@ -65,3 +65,21 @@
     settlement.unsettle(time_point{12s});
     CHECK(!settlement.is_settled());
 }
+
+// Guards against a fence that a dead holder has left and nobody looks into.
+TEST_CASE_FIXTURE(watch_fixture, "primary_watch_replica_that_stays_fenced_is_noticed") {
+    watch.on_replica("a", true, start);
+    watch.on_replica("a", true, start + settings.fence_limit / 2);
+    CHECK(watch.verdict(start + settings.fence_limit - 1ms) == primary_verdict::healthy);
+    CHECK(watch.verdict(start + settings.fence_limit) == primary_verdict::replicas_fenced);
+    watch.on_replica("a", false, start + settings.fence_limit);
+    CHECK(watch.verdict(start + settings.fence_limit) == primary_verdict::healthy);
+}
+
+// Guards against a primary that refuses a connection since it is full being taken for missing.
+TEST_CASE_FIXTURE(watch_fixture, "primary_watch_sign_of_life_starts_the_search_for_a_primary_again") {
+    watch.reset(false, start);
+    watch.on_sign_of_life(start + settings.missing_limit - 1ms);
+    CHECK(watch.verdict(start + settings.missing_limit) == primary_verdict::healthy);
+    CHECK(watch.verdict(start + 2 * settings.missing_limit) == primary_verdict::missing);
+}
