Let one promotion at a time use the duty of a daemon

Cause: while a driver asked the store for the recorded members, it did not count as running, so another group's promotion could start with the same lease. The second claim replaced the group of the first, and the first one's end would have recorded its term for the other group; trust that rests on the record could then be wrong.

A commit without a position from an instance that no longer leads is in doubt; it was judged by the trust in the successor. No instance has been seen to leave the position out.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -391,6 +391,11 @@
         done(true);
         return;
     }
+    if (!result.position && !of_primary) {
+        // Nothing tells whether it was acknowledged in the present term.
+        done(false);
+        return;
+    }
     const term_number term = result.position ? result.position->term : term_;
     if (of_primary && term == term_ && trust_.prolong(sent_at, received_at)) {
         done(true);
--- a/gentianhill/proxy/failover_driver.h
+++ b/gentianhill/proxy/failover_driver.h
@@ -50,8 +50,8 @@
 
     /// Regular work. `may_start` is false while the lease serves another group or the daemon stops.
     void tick(bool may_start);
-    /// True while a promotion is under way.
-    [[nodiscard]] bool is_running() const { return running_ != nullptr; }
+    /// True while a promotion is under way or about to start; the duty's lease serves one at a time.
+    [[nodiscard]] bool is_running() const { return running_ != nullptr || asking_members_; }
 
 private:
     void start(primary_verdict verdict);
--- a/standins/replicated_service/service_model.cpp
+++ b/standins/replicated_service/service_model.cpp
@@ -446,7 +446,9 @@
 void service_model::commit(instance& target, const std::shared_ptr<model_connection>& connection,
                            const std::string& id, const answer_handler& done) {
     target.log.push_back({id, target.term});
-    committed_.insert(id);
+    if (!committed_.insert(id).second) {
+        violations_.push_back(fmt::format("statement {} has committed twice", id));
+    }
     target.waiting.push_back({target.log.size(), id, connection, done});
     replicate_from(connection->instance, target);
 }
