Refuse statements from half of the grace time on, and exit when nothing is in flight

Ruled out: a later exit alone, since a statement may take as long as its route's timeout. Change: graceful_stop decides the phases. From half of the grace time on new statements are refused as not run, waiting ones too, open transactions are rolled back and the next statement of their client is answered as aborted. Red: stopping_daemon_statement_after_half_of_grace_is_refused_as_not_run on (the write ran).

--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -14,6 +14,8 @@
 /// Delay before a statement of a transaction is retried at an instance that answered busy.
 constexpr duration busy_backoff = 12ms;
 constexpr std::uint32_t max_pinned_attempts = 8;
+constexpr std::string_view stopping_detail = "the daemon is stopping";
+constexpr std::string_view timeout_detail = "timeout of the route reached";
 
 bool guarantees_no_effect(statement_outcome outcome) {
     return outcome >= statement_outcome::busy && outcome <= statement_outcome::denied;
@@ -71,7 +73,47 @@
     running_ = false;
 }
 
+bool client_session::refuse_while_stopping(const statement& next) {
+    if (environment_.accepts_statements()) {
+        return false;
+    }
+    switch (next.kind) {
+    case statement_kind::begin:
+    case statement_kind::begin_read:
+    case statement_kind::commit:
+    case statement_kind::read:
+    case statement_kind::write:
+    case statement_kind::execute:
+        break;
+    default:
+        return false;
+    }
+    if (!transaction_) {
+        answer_failure(statement_outcome::busy, stopping_detail);
+        return true;
+    }
+    if (transaction_->failed) {
+        return false;
+    }
+    release_pinned();
+    transaction_->failed = true;
+    if (next.kind == statement_kind::commit) {
+        transaction_.reset();
+    }
+    answer_failure(statement_outcome::aborted, stopping_detail);
+    return true;
+}
+
 void client_session::run(const statement& next) {
+    if (refuse_while_stopping(next)) {
+        return;
+    }
+    if (transaction_ && transaction_->rollback_unreported && next.kind != statement_kind::commit &&
+        next.kind != statement_kind::rollback) {
+        transaction_->rollback_unreported = false;
+        answer_failure(statement_outcome::aborted, "the transaction was rolled back");
+        return;
+    }
     if (transaction_ && transaction_->failed && next.kind != statement_kind::commit &&
         next.kind != statement_kind::rollback) {
         answer_failure(statement_outcome::malformed, "the transaction has failed; roll it back");
@@ -447,30 +489,20 @@
             log_.write(
                 log_level::info, "transaction", "idle_limit_reached",
                 {{"group", transaction_->selected_route->group}, {"limit_ms", to_milliseconds(limit)}});
-            end_transaction();
+            release_pinned();
+            transaction_->failed = true;
         }
         return;
     }
     if (confirming_ && now >= received_at_ + transaction_->selected_route->timeout) {
-        confirming_ = false;
-        transaction_.reset();
-        answer_failure(statement_outcome::in_doubt, "not known whether the primary still leads");
+        give_up_confirming();
         return;
     }
     if (transaction_->connection == nullptr) {
         return;
     }
     if (now >= received_at_ + transaction_->selected_route->timeout) {
-        const bool unknown = current_.kind == statement_kind::commit && transaction_->wrote && !retry_at_;
-        const bool commits = current_.kind == statement_kind::commit;
-        retry_at_.reset();
-        release_pinned();
-        transaction_->failed = true;
-        if (commits) {
-            transaction_.reset();
-        }
-        answer_failure(unknown ? statement_outcome::in_doubt : statement_outcome::aborted,
-                       "timeout of the route reached");
+        give_up_pinned(timeout_detail);
         return;
     }
     if (retry_at_ && now >= *retry_at_) {
@@ -478,12 +510,46 @@
     }
 }
 
+void client_session::give_up_confirming() {
+    confirming_ = false;
+    transaction_.reset();
+    answer_failure(statement_outcome::in_doubt, "not known whether the primary still leads");
+}
+
+void client_session::give_up_pinned(std::string_view detail) {
+    const bool commits = current_.kind == statement_kind::commit;
+    // A commit that the instance has refused as busy, and that is to be sent again, has not run.
+    const bool unknown = commits && transaction_->wrote && !retry_at_;
+    retry_at_.reset();
+    release_pinned();
+    transaction_->failed = true;
+    if (commits) {
+        transaction_.reset();
+    }
+    answer_failure(unknown ? statement_outcome::in_doubt : statement_outcome::aborted, detail);
+}
+
+void client_session::give_up(std::string_view detail) {
+    if (!busy_) {
+        return;
+    }
+    if (task_) {
+        const std::shared_ptr<statement_task> running = task_;
+        running->give_up(detail);
+    } else if (confirming_) {
+        give_up_confirming();
+    } else if (transaction_ && transaction_->connection != nullptr) {
+        give_up_pinned(detail);
+    }
+}
+
 void client_session::end_transaction() {
-    if (!transaction_ || busy_) {
+    if (!transaction_ || busy_ || transaction_->failed) {
         return;
     }
     release_pinned();
     transaction_->failed = true;
+    transaction_->rollback_unreported = true;
 }
 
 void client_session::answer_failure(statement_outcome outcome, std::string_view detail) {
--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -25,6 +25,8 @@
     std::function<database_group*(const std::string& group)> find_group;
     /// Idle time after which a transaction is rolled back; zero disables the limit.
     std::function<duration()> transaction_idle_limit;
+    /// Returns false once a daemon that stops runs no further statements.
+    std::function<bool()> accepts_statements;
     std::function<time_point()> now;
 };
 
@@ -46,16 +48,23 @@
     void submit(statement next);
     /// Ends a transaction that exceeds the idle limit, and a statement that exceeds its timeout.
     void tick();
-    /// Rolls back the open transaction and releases its connection, unless a statement is running.
+    /// Rolls back the open transaction and releases its connection, unless a statement is running. The next
+    /// statement of the client is answered as aborted.
     void end_transaction();
+    /// Answers the running statement without waiting for its result.
+    void give_up(std::string_view detail);
     /// True when no statement is running or queued and no transaction is open.
     [[nodiscard]] bool is_idle() const { return !busy_ && queue_.empty() && !transaction_; }
+    /// True while a statement is running or queued.
+    [[nodiscard]] bool has_unanswered() const { return busy_ || !queue_.empty(); }
 
 private:
     struct open_transaction {
         bool reads_only = false;
         /// Ended by an error; only a commit or rollback by the client closes it.
         bool failed = false;
+        /// Rolled back by end_transaction(), which the next answer reports.
+        bool rollback_unreported = false;
         /// A write succeeded, so a lost commit has an unknown outcome.
         bool wrote = false;
         /// Identifier of the client's BEGIN statement.
@@ -71,6 +80,10 @@
 
     void run_next();
     void run(const statement& next);
+    /// Refuses a statement that must not run because the daemon stops; false if it may run.
+    [[nodiscard]] bool refuse_while_stopping(const statement& next);
+    void give_up_pinned(std::string_view detail);
+    void give_up_confirming();
     void run_local(const statement& next);
     void run_begin(const statement& next);
     void run_rollback();
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -341,6 +341,15 @@
     active_.push_back(task);
 }
 
+void database_group::refuse_new_attempts() {
+    accepts_attempts_ = false;
+    // Copied, since a task that finishes may start another one.
+    const std::vector<std::shared_ptr<statement_task>> tasks = waiting_;
+    for (const std::shared_ptr<statement_task>& task : tasks) {
+        task->refuse_waiting();
+    }
+}
+
 void database_group::send_setup(pooled_connection& connection, const std::vector<setup_step>& steps,
                                 std::function<void(bool ready)> done) {
     struct progress {
@@ -848,7 +857,7 @@
 }
 
 bool database_group::may_start_second_read() {
-    if (second_read_budget_ < 1.0) {
+    if (!accepts_attempts_ || second_read_budget_ < 1.0) {
         return false;
     }
     second_read_budget_ -= 1.0;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -105,6 +105,10 @@
     /// with whether it is confirmed: immediately while the primary is trusted, never if that stays unknown.
     void confirm_commit(proxy_instance& instance, const statement_result& result, time_point sent_at,
                         const unconfirmed_commits::handler& done);
+    /// Refuses the waiting statements, and from now on every further attempt, because the daemon stops.
+    void refuse_new_attempts();
+    /// False once refuse_new_attempts() was called.
+    [[nodiscard]] bool accepts_attempts() const { return accepts_attempts_; }
     /// Called when an instance has rejected a write because it is not the primary.
     void on_not_primary(const std::string& id);
     /// Requests the status of all instances to find the primary.
@@ -222,6 +226,7 @@
     std::vector<std::shared_ptr<statement_task>> waiting_;
     std::vector<std::weak_ptr<statement_task>> active_;
     bool placing_tasks_ = false;
+    bool accepts_attempts_ = true;
 
     struct status_poll {
         time_point sent_at;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -11,14 +11,8 @@
 
 /// Interval of the periodic work.
 constexpr duration tick_interval = 25ms;
-/// Time until the load balancer notices that the daemon is not ready: two probes one second apart, plus
-/// transit time.
-constexpr duration balancer_delay = 2300ms;
-/// Share of the grace time after which idle sessions are closed even if the load balancer may not have
-/// noticed.
-constexpr double max_unready_share = 0.55;
-/// Share of the grace time after which the process exits even with open sessions.
-constexpr double exit_share = 0.85;
+/// Time until the load balancer notices that the daemon is not ready.
+constexpr duration balancer_delay = graceful_stop_settings{}.balancer_delay;
 constexpr std::uint32_t stagger_positions = 5;
 /// Delay before new members are recorded, since many are listed together at startup.
 constexpr duration record_delay = 100ms;
@@ -68,10 +62,6 @@
     return ports;
 }
 
-duration share_of(duration length, double share) {
-    return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * share));
-}
-
 } // namespace
 
 proxy::proxy(const proxy_settings& settings, proxy_ports ports, logger& log, metrics& registry)
@@ -82,7 +72,8 @@
       instance_watch_(store_collection::instances, ports_.store, log, settings.watch),
       configuration_watch_(store_collection::configuration, ports_.store, log, settings.watch),
       lease_(ports_.store, log, settings.lease, settings.name, settings.incarnation),
-      registry_(ports_.store, log, settings.registry, settings.name, settings.incarnation) {
+      registry_(ports_.store, log, settings.registry, settings.name, settings.incarnation),
+      stop_({settings.grace, balancer_delay}) {
     lease_.now = ports_.now;
     registry_.now = ports_.now;
     registry_.on_count = [this](std::size_t) { apply_group_limits(); };
@@ -129,6 +120,7 @@
     environment_.transaction_idle_limit = [this] {
         return routes_.current() ? routes_.current()->transaction_idle_limit : duration(0);
     };
+    environment_.accepts_statements = [this] { return stop_.accepts_statements(); };
     environment_.now = ports_.now;
 }
 
@@ -157,14 +149,14 @@
          groups_) {
         entry.second->tick();
     }
-    bool may_start = !promotion_running && phase_ == stop_phase::running;
+    bool may_start = !promotion_running && !stop_.is_requested();
     for (const std::map<std::string, std::unique_ptr<failover_driver>, std::less<>>::value_type& entry :
          drivers_) {
         entry.second->tick(may_start);
         may_start = may_start && !entry.second->is_running();
     }
-    if (phase_ != stop_phase::running) {
-        advance_stop();
+    if (stop_.is_requested()) {
+        advance_stop(now);
     } else {
         close_idle_sessions_if_not_serving(now);
     }
@@ -301,7 +293,7 @@
 }
 
 bool proxy::is_ready() const {
-    if (phase_ != stop_phase::running || !routes_.current()) {
+    if (stop_.is_requested() || !routes_.current()) {
         return false;
     }
     return std::any_of(
@@ -327,31 +319,42 @@
 }
 
 void proxy::stop() {
-    if (phase_ != stop_phase::running) {
+    if (stop_.is_requested()) {
         return;
     }
-    phase_ = stop_phase::unready;
+    stop_.request(ports_.now());
     registry_.remove_own_entry();
-    stop_started_ = ports_.now();
     log_.write(log_level::info, "proxy", "stop_requested", {{"grace_ms", to_milliseconds(settings_.grace)}});
 }
 
-void proxy::advance_stop() {
-    const duration elapsed = ports_.now() - stop_started_;
-    if (phase_ == stop_phase::unready &&
-        elapsed >= std::min(balancer_delay, share_of(settings_.grace, max_unready_share))) {
-        phase_ = stop_phase::closing_sessions;
+void proxy::advance_stop(time_point now) {
+    const stop_phase before = stop_.phase();
+    if (before == stop_phase::stopped) {
+        return;
     }
-    if (phase_ == stop_phase::closing_sessions && on_close_idle_sessions) {
-        on_close_idle_sessions();
+    const stop_phase phase = stop_.advance(now, has_open_work && has_open_work());
+    if (phase != before) {
+        log_.write(log_level::info, "proxy", "stop_phase",
+                   {{"phase", to_string(phase)}, {"ms", to_milliseconds(stop_.elapsed(now))}});
     }
-    if (phase_ == stop_phase::closing_sessions && elapsed >= share_of(settings_.grace, exit_share)) {
-        phase_ = stop_phase::stopped;
-        log_.write(log_level::info, "proxy", "stopped", {{"ms", to_milliseconds(elapsed)}});
-        if (on_stopped) {
-            on_stopped();
+    if (phase == stop_phase::refusing && before != phase) {
+        for (const std::map<std::string, std::unique_ptr<database_group>, std::less<>>::value_type& entry :
+             groups_) {
+            entry.second->refuse_new_attempts();
         }
     }
+    if (phase == stop_phase::ending && before != phase && on_give_up_statements) {
+        on_give_up_statements();
+    }
+    if (phase >= stop_phase::refusing && on_end_transactions) {
+        on_end_transactions();
+    }
+    if (phase >= stop_phase::closing_sessions && on_close_idle_sessions) {
+        on_close_idle_sessions();
+    }
+    if (phase == stop_phase::stopped && on_stopped) {
+        on_stopped();
+    }
 }
 
 } // namespace gentianhill
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -9,6 +9,7 @@
 #include "gentianhill/proxy/daemon_registry.h"
 #include "gentianhill/proxy/database_group.h"
 #include "gentianhill/proxy/failover_driver.h"
+#include "gentianhill/proxy/graceful_stop.h"
 #include "gentianhill/proxy/member_record.h"
 #include "gentianhill/routing/instance_catalog.h"
 #include "gentianhill/routing/route_table.h"
@@ -61,16 +62,6 @@
     std::function<double()> random;
 };
 
-/// Phase of a graceful shutdown.
-enum class stop_phase : std::uint8_t {
-    running,
-    /// Reported as not ready; new clients may still connect until the load balancer has noticed.
-    unready,
-    /// Idle sessions are being closed.
-    closing_sessions,
-    stopped,
-};
-
 /// A proxy daemon: applies the configuration, manages the database groups and opens client sessions.
 class proxy {
 public:
@@ -83,6 +74,12 @@
     std::function<void()> on_stopped;
     /// Called when idle sessions must be closed; repeated at every tick while that holds.
     std::function<void()> on_close_idle_sessions;
+    /// Called when open transactions must be rolled back; repeated at every tick while that holds.
+    std::function<void()> on_end_transactions;
+    /// Called when statements in flight must be answered without waiting for their results.
+    std::function<void()> on_give_up_statements;
+    /// Returns true while a client has a statement or transaction open or an answer that is not sent.
+    std::function<bool()> has_open_work;
 
     /// Starts watching the store and the periodic work.
     void start();
@@ -96,7 +93,9 @@
     std::function<void()> on_configuration_applied;
     /// True when the daemon accepts new clients.
     [[nodiscard]] bool is_ready() const;
-    [[nodiscard]] stop_phase phase() const { return phase_; }
+    /// True while new statements are run; false in the later part of a graceful shutdown.
+    [[nodiscard]] bool accepts_statements() const { return stop_.accepts_statements(); }
+    [[nodiscard]] stop_phase phase() const { return stop_.phase(); }
     [[nodiscard]] proxy_counters& counters() { return counters_; }
 
 private:
@@ -110,7 +109,7 @@
     void list_instances(const std::string& group, const std::string& after,
                         const std::shared_ptr<std::vector<listed_instance>>& found,
                         const std::function<void(const std::optional<std::vector<listed_instance>>&)>& done);
-    void advance_stop();
+    void advance_stop(time_point now);
     /// Closes idle sessions once no group has been able to serve for longer than the load balancer needs to
     /// notice.
     void close_idle_sessions_if_not_serving(time_point now);
@@ -133,8 +132,7 @@
     std::map<std::string, std::unique_ptr<failover_driver>, std::less<>> drivers_;
     std::map<std::string, std::unique_ptr<member_record>, std::less<>> member_records_;
     session_environment environment_;
-    stop_phase phase_ = stop_phase::running;
-    time_point stop_started_;
+    graceful_stop stop_;
     std::optional<time_point> unready_since_;
 };
 
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -28,6 +28,7 @@
 /// route's timeout.
 constexpr double queue_share = 0.8;
 constexpr double microseconds_per_ms = 1000.0;
+constexpr std::string_view stopping_detail = "the daemon is stopping";
 
 duration share_of(duration length, double share) {
     return duration(static_cast<std::int64_t>(static_cast<double>(length.count()) * share));
@@ -282,6 +283,10 @@
         refuse(outcome, "every attempt failed");
         return;
     }
+    if (!group_.accepts_attempts()) {
+        refuse(is_transaction() ? statement_outcome::aborted : outcome, stopping_detail);
+        return;
+    }
     waiting_ = true;
     waiting_since_ = group_.now();
     // Queued rather than placed immediately, so that an instance that refuses everything is not retried in a
@@ -295,7 +300,7 @@
     }
     const std::shared_ptr<statement_task> keep = self_;
     if (now >= request_.received_at + request_.selected_route->timeout) {
-        time_out();
+        give_up("timeout of the route reached");
         return;
     }
     if (attempts_.empty()) {
@@ -309,7 +314,16 @@
     }
 }
 
-void statement_task::time_out() {
+void statement_task::refuse_waiting() {
+    if (is_waiting() && attempts_.empty()) {
+        refuse(is_transaction() ? statement_outcome::aborted : statement_outcome::busy, stopping_detail);
+    }
+}
+
+void statement_task::give_up(std::string_view detail) {
+    if (finished_) {
+        return;
+    }
     const bool sent = std::any_of(attempts_.begin(), attempts_.end(),
                                   [](const attempt_pointer& current) { return current->statement_sent; });
     const std::vector<attempt_pointer> ended = attempts_;
@@ -319,7 +333,7 @@
                   : may_repeat()                       ? statement_outcome::aborted
                                                        : statement_outcome::in_doubt;
     }
-    refuse(outcome, "timeout of the route reached");
+    refuse(outcome, detail);
     for (const attempt_pointer& current : ended) {
         current->connection->owner().drop(*current->connection, disconnect_reason::closed_locally);
     }
--- a/gentianhill/proxy/statement_task.h
+++ b/gentianhill/proxy/statement_task.h
@@ -55,6 +55,10 @@
     void tick(time_point now);
     /// Ends the task without a result, because its client has disconnected.
     void abandon();
+    /// Ends the task with the outcome that is certain without the answers to its running attempts.
+    void give_up(std::string_view detail);
+    /// Refuses the task if it waits and has no running attempt, because the daemon stops.
+    void refuse_waiting();
 
     /// True once the result has been delivered or the task was abandoned.
     [[nodiscard]] bool is_finished() const { return finished_; }
@@ -87,7 +91,6 @@
     /// Queues another attempt. With `avoid_instance`, `instance` is avoided if any other instance can serve
     /// the statement.
     void retry(const std::string& instance, statement_outcome outcome, bool avoid_instance);
-    void time_out();
     void refuse_if_waited_too_long(time_point now);
     void start_second_read(time_point now);
     void finish(statement_result result, pooled_connection* connection);
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -367,8 +367,10 @@
     list(id, false);
 }
 
-void simulated_deployment::configure(std::uint64_t version, bool with_bounded) {
-    store.write(store_collection::configuration, "main", {{"version", version}, {"bounded", with_bounded}});
+void simulated_deployment::configure(std::uint64_t version, bool with_bounded, duration timeout) {
+    store.write(
+        store_collection::configuration, "main",
+        {{"version", version}, {"bounded", with_bounded}, {"timeout_ms", to_milliseconds(timeout)}});
 }
 
 proxy_ports simulated_deployment::make_ports(std::size_t index) {
@@ -411,7 +413,7 @@
             added->database = database;
             added->group = group_name;
             added->consistency = consistency;
-            added->timeout = 1000ms;
+            added->timeout = std::chrono::milliseconds(object.content.at("timeout_ms").get<std::int64_t>());
             added->target_latency = 200ms;
             added->max_staleness = consistency == consistency_level::latest ? duration(0) : duration(1500ms);
             configuration.routes.emplace(database, added);
--- a/tests/proxy/simulated_deployment.h
+++ b/tests/proxy/simulated_deployment.h
@@ -146,7 +146,8 @@
     void restart_without_log(const std::string& id);
     void unlist(const std::string& id) { store.erase(store_collection::instances, id); }
     /// Writes a configuration version, with or without the "bounded" route.
-    void configure(std::uint64_t version, bool with_bounded = true);
+    void configure(std::uint64_t version, bool with_bounded = true,
+                   duration timeout = std::chrono::milliseconds(1000));
 
     simulated_clock clock;
     simulated_store store;
