Space status calls to an instance by 10 ms

Ruled out: the relay of evidence itself; until second 17 it made fewer calls than before (967 against 1,301). Change: at most one status call in 10 ms to an instance.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -24,6 +24,9 @@
 constexpr term_number first_term = 1;
 /// An unanswered status call is repeated after this time.
 constexpr duration status_timeout = 250ms;
+/// Shortest interval between two status calls to one instance, so that evidence that cannot be had is not
+/// requested again with each answer.
+constexpr duration status_spacing = 10ms;
 /// Shortest interval between two polls of all instances.
 constexpr duration poll_interval = 150ms;
 /// Time without an answer after which the primary is probed, with and without an unanswered statement.
@@ -146,6 +149,7 @@
     instances_.erase(found);
     removed_.back()->close_all();
     open_polls_.erase(id);
+    status_sent_at_.erase(id);
     unfenced_reports_.remove(id);
     failure_detector_.on_replica_fence_state(id, false, now());
     settlement_.unsettle(now());
@@ -488,11 +492,16 @@
     if (open != open_polls_.end() && current - open->second.sent_at < status_timeout) {
         return;
     }
+    const std::map<std::string, time_point>::iterator last = status_sent_at_.find(id);
+    if (last != status_sent_at_.end() && current - last->second < status_spacing) {
+        return;
+    }
     pooled_connection* connection = instance.take_for_status_call();
     if (connection == nullptr) {
         return;
     }
     open_polls_.insert_or_assign(id, status_poll{current, connection->number()});
+    status_sent_at_[id] = current;
     counters_.status_calls.add();
     instance_command command;
     command.kind = command_kind::status;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -268,6 +268,8 @@
     };
     /// Unanswered status calls, by instance.
     std::map<std::string, status_poll> open_polls_;
+    /// Time of the last status call, by instance.
+    std::map<std::string, time_point> status_sent_at_;
     std::optional<time_point> evidence_requested_at_;
     /// True while the zone is being asked; it is not asked before `zone_pause_until_`.
     bool asking_zone_ = false;
