--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -46,6 +46,8 @@
 /// Trust passed on lasts at least this long, so that it is still valid when it arrives.
 constexpr duration min_trust_left = 100ms;
 constexpr std::size_t max_provided_points = 8;
+/// Requests of other daemons held at once; a further one is answered with what is known.
+constexpr std::size_t max_zone_requests = 1024;
 /// Number of replicas required before their logs may be used as read points.
 constexpr std::size_t min_replicas = 2;
 /// A group that has refused statements for this time counts as not serving.
@@ -804,7 +806,7 @@
 }
 
 void database_group::provide_evidence(const evidence_need& need, std::function<void(evidence_answer)> done) {
-    if (primary_id_.empty() || satisfies(need)) {
+    if (primary_id_.empty() || satisfies(need) || zone_requests_.size() >= max_zone_requests) {
         done(make_evidence(need));
         renew_for_zone(need);
         return;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -103,6 +103,12 @@
     return settings;
 }
 
+collection_watch_settings daemon_watch(const collection_watch_settings& settings) {
+    collection_watch_settings result = slow_watch(settings);
+    result.lists_may_be_old = true;
+    return result;
+}
+
 state_relay_settings relay_settings(const proxy_settings& settings) {
     state_relay_settings result = settings.relay;
     result.selection.max_age = settings.watch.wait + state_age_margin;
@@ -122,7 +128,7 @@
       configuration_watch_(store_collection::configuration, ports_.store, log, settings.watch),
       instance_watch_(store_collection::instances, ports_.store, log, instance_watch(settings.watch)),
       duty_watch_(store_collection::duties, ports_.store, log, slow_watch(settings.watch)),
-      daemon_watch_(store_collection::proxies, ports_.store, log, slow_watch(settings.watch)),
+      daemon_watch_(store_collection::proxies, ports_.store, log, daemon_watch(settings.watch)),
       directory_(ports_.store, daemon_watch_.replica(), log, settings.directory, settings.name,
                  {settings.zone, settings.peer_address}),
       relay_(relay_settings(settings), directory_,
--- a/gentianhill_cli/explain_command.cpp
+++ b/gentianhill_cli/explain_command.cpp
@@ -19,7 +19,7 @@
 
 using cause_text = std::pair<std::string_view, std::string_view>;
 /// Details of refusals, as the daemon logs them.
-constexpr std::array<cause_text, 9> causes{{
+constexpr std::array<cause_text, 10> causes{{
     {"no_primary", "no instance led the group, or the one that led did not answer; see the failover lines"},
     {"no_evidence", "no replica confirmed in time that the primary still led"},
     {"no_read_point", "no log position was recent enough to prove that a replica is fresh"},
@@ -28,6 +28,7 @@
     {"timeout of the route reached", "the instance did not answer within the route's timeout"},
     {"connection to the instance lost", "the connection ended before the answer"},
     {"every attempt failed", "each instance that was tried refused or failed; see the attempts"},
+    {"the daemon is stopping", "the daemon was stopped by plan and took no new work; the statement has not run"},
     {"no route has this database", "the configuration in effect has no route for the database"},
 }};
 
@@ -65,7 +66,13 @@
     return std::nullopt;
 }
 
-bool changes_the_group(const log_line& line, const std::set<std::string>& groups) {
+/// True for a line that may explain a request of one of `groups` that the daemons `sources` have served.
+bool changes_the_group(const log_line& line, const std::set<std::string>& groups,
+                       const std::set<std::string>& sources) {
+    if (line.component == "relay" || line.component == "directory") {
+        // Where a daemon takes its state and evidence from concerns its own requests only.
+        return sources.count(line.source) > 0;
+    }
     const bool is_change = line.component == "failover" || line.component == "group" ||
                            line.component == "pool" || line.component == "metadata" ||
                            line.component == "proxy" || line.component == "process";
@@ -138,9 +145,11 @@
 std::string explain_request(const std::vector<log_line>& lines, const std::string& id) {
     std::vector<std::size_t> own;
     std::set<std::string> groups;
+    std::set<std::string> sources;
     for (std::size_t i = 0; i < lines.size(); ++i) {
         if (lines[i].field("id") == id) {
             own.push_back(i);
+            sources.insert(lines[i].source);
             const std::string group = lines[i].field("group");
             if (!group.empty()) {
                 groups.insert(group);
@@ -154,16 +163,16 @@
     std::set<std::size_t> shown(own.begin(), own.end());
     std::size_t found = 0;
     for (std::size_t i = own.front(); i-- > 0 && found < context_lines;) {
-        found += changes_the_group(lines[i], groups) && shown.insert(i).second ? 1U : 0U;
+        found += changes_the_group(lines[i], groups, sources) && shown.insert(i).second ? 1U : 0U;
     }
     for (std::size_t i = own.front(); i < own.back(); ++i) {
-        if (changes_the_group(lines[i], groups)) {
+        if (changes_the_group(lines[i], groups, sources)) {
             shown.insert(i);
         }
     }
     found = 0;
     for (std::size_t i = own.back() + 1; i < lines.size() && found < context_lines / 2; ++i) {
-        found += changes_the_group(lines[i], groups) && shown.insert(i).second ? 1U : 0U;
+        found += changes_the_group(lines[i], groups, sources) && shown.insert(i).second ? 1U : 0U;
     }
     std::string text;
     for (const std::size_t i : shown) {
--- a/model/fenced_promotion.pml
+++ b/model/fenced_promotion.pml
@@ -5,6 +5,7 @@
  * primary that it trusts and confirms commits to clients. Within a term, logs are prefixes of each other, so a log is
  * represented by its length. -DLEAVER includes instance 3; -DRESTART lets a replica restart without its log. Each
  * BREAK_ switch removes one guard and must lead to a violated assertion.
+ * -DRELAY adds a daemon that takes its trust from the third one instead of asking the replicas.
  */
 #define OLD 0
 #define COUNT 4
@@ -28,6 +29,13 @@
 /* Replicas that have reported that they are not fenced since the last fence invalidated all older evidence. */
 bool unfenced_report[3];
 byte confirmed;
+#ifdef RELAY
+/* Trust of the daemon that asks another one, and the answer on its way: the term that it is about, 0 for none, and
+ * whether its time has not passed yet, counted from the question. */
+bool relayed_trust;
+byte answer_term;
+bool answer_is_current;
+#endif
 /* Set by the last check before the call; a restart after it is not modelled (a limit that the design states). */
 bool verified;
 
@@ -62,6 +70,14 @@
     fi
 }
 
+/* The wait after the fences outlasts all trust that rests on older evidence, passed on or not. */
+inline expire_trust() {
+    trusted = false; unfenced_report[1] = false; unfenced_report[2] = false;
+#ifdef RELAY
+    relayed_trust = false; answer_is_current = false
+#endif
+}
+
 active proctype primary() {
     do
     :: atomic { length[OLD] < MAX_LENGTH -> length[OLD]++ }
@@ -121,6 +137,32 @@
     od
 }
 
+#ifdef RELAY
+/* A daemon that knows the old primary and asks the reader for trust. After a promotion the reader trusts the new primary,
+ * in term 2. The answer may arrive at any later time. */
+active proctype relayed_reader() {
+    do
+    :: atomic { trusted && !promoted && answer_term == 0 -> answer_term = 1; answer_is_current = true }
+    :: atomic { promoted && answer_term == 0 -> answer_term = 2; answer_is_current = true }
+    :: atomic { answer_term != 0 ->
+        if
+        :: true
+#ifndef BREAK_RELAY_TERM
+           && answer_term == 1
+#endif
+#ifndef BREAK_RELAY_TIME
+           && answer_is_current
+#endif
+           -> relayed_trust = true; confirm()
+        :: else
+        fi;
+        answer_term = 0; answer_is_current = false }
+    :: atomic { relayed_trust -> assert(!new_commit && length[OLD] >= confirmed) }
+    :: break
+    od
+}
+#endif
+
 /* One promotion by a daemon. A claim that was not released may be taken over after its tenure (see clock). */
 proctype promoter(byte holder) {
     byte token;
@@ -148,12 +190,12 @@
     atomic {
         if
         :: (fenced[1] || follows[1]) && (fenced[2] || follows[2]) ->
-            trusted = false; unfenced_report[1] = false; unfenced_report[2] = false
+            expire_trust()
         :: else -> goto give_up
         fi
     }
 #else
-    atomic { trusted = false; unfenced_report[1] = false; unfenced_report[2] = false }
+    atomic { expire_trust() }
 #endif
 #endif
     atomic {
