--- a/model/fenced_promotion.pml
+++ b/model/fenced_promotion.pml
@@ -146,14 +146,14 @@
     :: atomic { promoted && answer_term == 0 -> answer_term = 2; answer_is_current = true }
     :: atomic { answer_term != 0 ->
         if
-        :: true
+        :: (true
 #ifndef BREAK_RELAY_TERM
-           && answer_term == 1
+            && answer_term == 1
 #endif
 #ifndef BREAK_RELAY_TIME
-           && answer_is_current
+            && answer_is_current
 #endif
-           -> relayed_trust = true; confirm()
+            ) -> relayed_trust = true; confirm()
         :: else
         fi;
         answer_term = 0; answer_is_current = false }
--- a/tests/relay/relay_load_tests.cpp
+++ b/tests/relay/relay_load_tests.cpp
@@ -277,6 +277,21 @@
     }
 }
 
+// Pattern: one of two daemons of a zone suspended for long. It has heard nobody since it was not running
+// itself.
+TEST_CASE("relay_load_suspended_daemon_of_two_does_not_remove_the_other") {
+    simulated_fleet fleet(1, 2);
+    const names order = fleet.order("z0");
+    fleet.freeze(order[0]);
+    fleet.run_for(40s);
+    fleet.wake(order[0]);
+    for (int step = 0; step < 100; ++step) {
+        fleet.run_for(50ms);
+        REQUIRE(fleet.store.find(store_collection::proxies, order[1]));
+    }
+    CHECK(fleet.store.find(store_collection::proxies, order[0]));
+}
+
 // Pattern: first relay cut from its zone, not from the store. Guards against it removing the whole zone.
 TEST_CASE_FIXTURE(fleet_fixture, "relay_load_relay_cut_from_its_zone_removes_nobody") {
     fleet.cut_hosts.insert(order[0]);
