Play the soak with daemons that relay to each other

Cause: the soak's daemons had no address for each other, so relays and evidence were not played with real processes. Change: each daemon has a peer address and the others as seeds; the stand-in's store reports deletions and honours their revision.

--- a/standins/line_platform/http_platform.cpp
+++ b/standins/line_platform/http_platform.cpp
@@ -126,8 +126,7 @@
 
 void http_platform::change(evhttp_request* request, const std::string& kind, const std::string& path_name) {
     if (evhttp_request_get_command(request) == EVHTTP_REQ_DELETE) {
-        objects_.erase({kind, path_name});
-        reply(request, status_ok, nlohmann::json::object());
+        remove(request, kind, path_name);
         return;
     }
     const nlohmann::json body = nlohmann::json::parse(body_of(request));
@@ -150,6 +149,32 @@
     reply(request, status_ok, objects_.at({kind, name}));
 }
 
+void http_platform::remove(evhttp_request* request, const std::string& kind, const std::string& name) {
+    const auto present = objects_.find({kind, name});
+    if (present == objects_.end()) {
+        reply(request, status_missing, nlohmann::json::object());
+        return;
+    }
+    evkeyvalq query{};
+    const char* text = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+    evhttp_parse_query_str(text == nullptr ? "" : text, &query);
+    const char* revision = evhttp_find_header(&query, "Revision");
+    const bool matches =
+        revision == nullptr ||
+        present->second.at("meta").at("Revision").get<std::uint64_t>() == std::stoull(revision);
+    evhttp_clear_headers(&query);
+    if (!matches) {
+        reply(request, status_conflict, present->second);
+        return;
+    }
+    nlohmann::json removed = present->second;
+    removed["meta"]["Revision"] = ++revision_;
+    objects_.erase(present);
+    history_.emplace_back(kind, nlohmann::json{{"Object", removed}, {"Deleted", true}});
+    reply(request, status_ok, nlohmann::json::object());
+    wake();
+}
+
 bool http_platform::answer_events(evhttp_request* request, const std::string& kind, std::uint64_t revision,
                                   bool even_none) {
     nlohmann::json events = nlohmann::json::array();
--- a/standins/line_platform/http_platform.h
+++ b/standins/line_platform/http_platform.h
@@ -47,6 +47,7 @@
 
     void handle(evhttp_request* request);
     void change(evhttp_request* request, const std::string& kind, const std::string& name);
+    void remove(evhttp_request* request, const std::string& kind, const std::string& name);
     void list(evhttp_request* request, const std::string& kind);
     void watch(evhttp_request* request, const std::string& kind, std::uint64_t revision,
                std::int64_t wait_ms);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -53,6 +53,7 @@
     std::string name;
     std::uint16_t client_port = 0;
     std::uint16_t admin_port = 0;
+    std::uint16_t peer_port = 0;
     pid_t pid = 0;
     bool frozen = false;
 };
@@ -84,8 +85,11 @@
     int run() {
         start_platform();
         for (std::size_t i = 0; i < daemon_count; ++i) {
-            daemons_.push_back({"daemon-" + std::to_string(i), free_port(), free_port(), 0, false});
-            launch(daemons_.back());
+            daemons_.push_back(
+                {"daemon-" + std::to_string(i), free_port(), free_port(), free_port(), 0, false});
+        }
+        for (std::size_t i = 0; i < daemon_count; ++i) {
+            launch(daemons_[i]);
             for (std::size_t c = 0; c < clients_per_daemon; ++c) {
                 const std::vector<std::string> databases{"latest", "bounded", "own"};
                 clients_.push_back(std::make_unique<soak_client>());
@@ -161,11 +165,17 @@
     }
 
     void launch(daemon_process& started) {
+        std::string seeds;
+        for (const daemon_process& each : daemons_) {
+            seeds += fmt::format("{}127.0.0.1:{}", seeds.empty() ? "" : ",", each.peer_port);
+        }
         const std::vector<std::string> flags{program_,
                                              "--name=" + started.name,
                                              "--zone=a",
                                              fmt::format("--client-listen=127.0.0.1:{}", started.client_port),
                                              fmt::format("--admin-listen=127.0.0.1:{}", started.admin_port),
+                                             fmt::format("--peer-listen=127.0.0.1:{}", started.peer_port),
+                                             "--seeds=" + seeds,
                                              fmt::format("--store=127.0.0.1:{}", store_port_),
                                              fmt::format("--promotion-service=127.0.0.1:{}", store_port_),
                                              "--grace-s=3"};
