--- a/tests/relay/simulated_fleet.cpp
+++ b/tests/relay/simulated_fleet.cpp
@@ -205,7 +205,8 @@
     if (daemon.watches.empty()) {
         return 0;
     }
-    const auto& objects = daemon.watches.front()->replica().objects();
+    const std::map<std::string, stored_object, std::less<>>& objects =
+        daemon.watches.front()->replica().objects();
     const auto found = objects.find("main");
     return found == objects.end() ? 0 : found->second.content.at("version").get<std::uint64_t>();
 }
