Do not call a statement not run that a stop has ended in doubt

Cause: gentianhill explain gave for the detail "the daemon is stopping" that the statement has not run; the answers at the end of a stop have the same detail and may be in doubt. Change: the text points to the outcome. Only the command-line tool changes.

--- a/gentianhill_cli/explain_command.cpp
+++ b/gentianhill_cli/explain_command.cpp
@@ -29,7 +29,7 @@
     {"connection to the instance lost", "the connection ended before the answer"},
     {"every attempt failed", "each instance that was tried refused or failed; see the attempts"},
     {"the daemon is stopping",
-     "the daemon was stopped by plan and took no new work; the statement has not run"},
+     "the daemon was stopped by plan; the outcome tells whether the statement may have run"},
     {"no route has this database", "the configuration in effect has no route for the database"},
 }};
 
--- a/tests/cli/explain_tests.cpp
+++ b/tests/cli/explain_tests.cpp
@@ -29,6 +29,16 @@
     CHECK(text.find("replica_fenced") < text.find("attempt_failed"));
 }
 
+// Guards against telling an operator that a write has not run although a stop ended it in doubt: its refusals
+// and its last answers have the same detail.
+TEST_CASE("explain_write_in_doubt_at_a_stop_is_not_called_not_run") {
+    const std::string log = "edge-b 2026-06-17T07:24:34.510Z info statement refused id=5c0e database=lepu "
+                            "outcome=in_doubt detail=\"the daemon is stopping\" ms=2300\n";
+    const std::string text = explain_request(parse_log(log), "5c0e");
+    CHECK(text.find("outcome: in_doubt\ncause: the daemon was stopped by plan") != std::string::npos);
+    CHECK(text.find("not run") == std::string::npos);
+}
+
 // Guards against an explanation of a request that no log mentions.
 TEST_CASE("explain_unknown_request_gives_nothing") {
     CHECK(explain_request(parse_log(collected), "5c0").empty());
