Confirm a commit only when a replica that every promotion asks has received it

Cause: an acknowledgement was taken as evidence that a listed replica was not fenced, and prolonged the trust in the primary; and a commit acknowledged under trust was confirmed although only an instance that no promotion asks might hold it.

Ruled out: prolonged trust as the only fault. Trust from before the cut lasts for 600 ms and covers acknowledgements of the new instance too, so that leaving the trust to status answers alone still loses commits.

Change: unconfirmed_commits waits until a listed replica is known to have received the commit while the primary was trusted, by its position in an answer to a read, or by a status call. That answer prolongs trust; the acknowledgement does not. A replica counts once it has been listed for the trust window, so one that registers after a promotion's last look at the list cannot bridge the trust of before the fences. While no such replica answers, writes are refused as not run, and one that was sent is in doubt after 350 ms instead of at its deadline. Trust that is in use is renewed with one call before it ends, instead of with one for each replica afterwards.

Weighed: an acknowledgement counts while no instance is outside the record of members: a zone that is cut off can't see such an instance. Taken: a wait of 0.3 of the route's target latency, only while replicas answer reads.

gentianhilld counts named members of its configuration, so it has no such case.

--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -414,7 +414,7 @@
     const std::shared_ptr<statement_result> pending_result =
         std::make_shared<statement_result>(std::move(result));
     group.confirm_commit(
-        owner, *pending_result, sent_at_,
+        owner, *pending_result, sent_at_, transaction_->selected_route->target_latency,
         [this, pending_result, commit = ++commits_, alive = std::weak_ptr<bool>(alive_)](bool confirmed) {
             if (!alive.expired() && confirming_ && commit == commits_) {
                 on_commit_confirmed(confirmed, std::move(*pending_result));
@@ -426,7 +426,7 @@
     confirming_ = false;
     transaction_.reset();
     if (!confirmed) {
-        answer_failure(statement_outcome::in_doubt, "acknowledged by a primary that was replaced");
+        answer_failure(statement_outcome::in_doubt, "acknowledged, but not known to be kept by a replica");
         return;
     }
     after_commit(result, true);
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -14,12 +14,26 @@
 constexpr duration evidence_timeout = 30ms;
 /// Shortest interval between reads of the promotion record in the store.
 constexpr duration record_read_interval = 1000ms;
-/// Evidence is renewed this long before it expires, so that a commit does not have to wait for it.
-constexpr duration renewal_lead = 100ms;
 /// Trust that would be slow to obtain again is renewed for this time after its last use.
 constexpr duration trust_retention = 2s;
 /// Unconfirmed commits are discarded after this time, which exceeds any route's timeout.
 constexpr duration unconfirmed_limit = 20s;
+/// Share of a route's target latency by which a replica is asked whether it has received a commit; before,
+/// answers to reads may show it.
+constexpr double receipt_wait_share = 0.3;
+constexpr duration max_receipt_wait = 60ms;
+/// A replica is asked at once when none has answered a read for this time.
+constexpr duration read_answer_interval = 100ms;
+/// Time after which all replicas are asked if the first one has not shown it.
+constexpr duration receipt_timeout = 50ms;
+/// Trust that was used within `trust_use_interval` is renewed when less than `trust_renewal_lead` is left.
+constexpr duration trust_use_interval = 200ms;
+constexpr duration trust_renewal_lead = 60ms;
+/// Subtracted from the cost of a replica, in ms, while its answer to a read may confirm a commit and so save
+/// a status call.
+constexpr double receipt_bonus_ms = 12.0;
+/// A replica that has not answered for this time cannot show soon that it has received a commit.
+constexpr duration witness_silence = 350ms;
 /// Term of a group before its first promotion.
 constexpr term_number first_term = 1;
 /// An unanswered status call is repeated after this time.
@@ -214,13 +228,15 @@
         request_evidence();
         return {nullptr, std::nullopt, placement_wait::no_evidence};
     }
+    last_trust_use_ = now();
     if (!instance->is_usable()) {
         static_cast<void>(instance->open_more(1));
         return {nullptr, std::nullopt, placement_wait::no_primary};
     }
-    // Confirming the commit needs evidence; request it now so that it arrives while the statement runs.
-    if (!only_reads && limits_.sync_replicas > 0 && !trust_.covers(now() + renewal_lead)) {
-        request_evidence();
+    // The outcome of a write would be in doubt.
+    if (!only_reads && limits_.sync_replicas > 0 && !has_reachable_witness()) {
+        poll_replicas();
+        return {nullptr, std::nullopt, placement_wait::no_evidence};
     }
     return take_connection(*instance, query, std::nullopt);
 }
@@ -312,6 +328,9 @@
     if (!instance.position() || *instance.position() < min_position) {
         expected_cost += settings_.lagging_ms;
     }
+    if (is_witness(instance) && unconfirmed_.ask_at()) {
+        expected_cost -= receipt_bonus_ms;
+    }
     return expected_cost;
 }
 
@@ -421,7 +440,8 @@
 }
 
 void database_group::confirm_commit(proxy_instance& instance, const statement_result& result,
-                                    time_point sent_at, const unconfirmed_commits::handler& done) {
+                                    time_point sent_at, duration target_latency,
+                                    const unconfirmed_commits::handler& done) {
     const time_point received_at = now();
     const bool of_primary = instance.listed().id == primary_id_;
     if (of_primary) {
@@ -432,21 +452,39 @@
         done(true);
         return;
     }
-    if (!result.position && !of_primary) {
-        // There is no way to tell whether it was acknowledged in the current term.
+    if (!result.position) {
+        // There is no way to tell which replica has received it.
         done(false);
         return;
     }
-    const term_number term = result.position ? result.position->term : term_;
-    if (of_primary && term == term_ && trust_.extend(sent_at, received_at)) {
-        done(true);
-        return;
+    const time_point ask_at = std::max(sent_at + receipt_wait(target_latency, received_at), received_at);
+    unconfirmed_.add(*result.position, sent_at, received_at, ask_at, done);
+    last_trust_use_ = received_at;
+    if (result.position->term == term_ && received_position_ >= *result.position) {
+        static_cast<void>(unconfirmed_.on_received(received_position_, received_at));
     }
-    unconfirmed_.add(term, received_at, done);
     unconfirmed_.resolve(term_, trust_);
-    if (!unconfirmed_.empty()) {
+    if (unconfirmed_.empty()) {
+        return;
+    }
+    if (!trust_.covers(received_at)) {
         request_evidence();
     }
+    if (call_after) {
+        call_after(ask_at - received_at, [this, alive = std::weak_ptr<bool>(alive_)] {
+            if (!alive.expired()) {
+                check_unconfirmed_commits(now());
+            }
+        });
+    }
+}
+
+duration database_group::receipt_wait(duration target_latency, time_point current) const {
+    if (current - last_replica_read_ > read_answer_interval) {
+        return duration(0);
+    }
+    const double wait = static_cast<double>(target_latency.count()) * receipt_wait_share;
+    return std::min(duration(static_cast<std::int64_t>(wait)), max_receipt_wait);
 }
 
 void database_group::on_not_primary(const std::string& id) {
@@ -463,6 +501,9 @@
     const std::string& id = instance.listed().id;
     if (kind == command_kind::read || kind == command_kind::write || kind == command_kind::execute) {
         second_read_budget_ = std::min(second_read_budget_ + second_read_ratio, second_read_capacity);
+        if (id != primary_id_) {
+            last_replica_read_ = current;
+        }
     }
     if (id == primary_id_) {
         failure_detector_.on_answer(current);
@@ -480,6 +521,8 @@
     } else if (position->term == term_ && id == primary_id_) {
         read_points_.add(*position, sent_at);
         former_primary_.on_leading(id, instance.listed().started_at_ms, term_, *position);
+    } else if (id != primary_id_) {
+        on_replica_position(instance, *position);
     }
 }
 
@@ -537,6 +580,7 @@
         former_primary_.on_following(id, status);
         if (id != primary_id_) {
             settle_by_replica(instance, status, sent_at);
+            on_replica_position(instance, status.log_end);
         }
     }
     if (status.is_primary) {
@@ -592,7 +636,9 @@
 
 void database_group::on_replica_evidence(const std::string& id, time_point sent_at) {
     unfenced_reports_.add(id, sent_at);
-    if (!trust_.extend(sent_at, now())) {
+    const proxy_instance* replica = find(id);
+    const bool extended = replica != nullptr && is_witness(*replica) && trust_.extend(sent_at, now());
+    if (!extended) {
         const std::optional<time_point> all = unfenced_reports_.all_reported_since(replica_ids());
         if (!all) {
             return;
@@ -613,6 +659,71 @@
     place_waiting_tasks();
 }
 
+void database_group::on_replica_position(const proxy_instance& replica, log_position position) {
+    if (position.term != term_ || !is_witness(replica)) {
+        return;
+    }
+    const time_point current = now();
+    received_position_ = std::max(received_position_, position);
+    const std::optional<time_point> sent_at = unconfirmed_.on_received(position, current);
+    if (!sent_at) {
+        return;
+    }
+    // The replica has received a commit after this time, so it was not fenced before.
+    if (trust_.extend(*sent_at, current)) {
+        on_evidence();
+    } else {
+        request_evidence();
+    }
+}
+
+bool database_group::is_witness(const proxy_instance& instance) const {
+    // A promotion lists the instances once more after it has fenced them. An instance that registers later is
+    // not asked, but by the time it counts here, trust from before the fences has ended.
+    return instance.listed().id != primary_id_ && now() - instance.listed_since() >= settings_.trust_window;
+}
+
+std::optional<time_point> database_group::last_witness_answer() const {
+    std::optional<time_point> last;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        if (is_witness(*entry.second)) {
+            last = std::max(last.value_or(time_point{}), entry.second->last_answer());
+        }
+    }
+    return last;
+}
+
+bool database_group::has_reachable_witness() const {
+    const time_point current = now();
+    return std::any_of(instances_.begin(), instances_.end(),
+                       [&](const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry) {
+                           const proxy_instance& instance = *entry.second;
+                           const bool silent = instance.last_answer() < witnesses_silent_at_;
+                           return is_witness(instance) &&
+                                  ((instance.is_usable() && !silent) ||
+                                   current - instance.last_answer() < witness_silence);
+                       });
+}
+
+void database_group::check_unconfirmed_commits(time_point current) {
+    unconfirmed_.discard_before(current - unconfirmed_limit);
+    const std::optional<time_point> ask_at = unconfirmed_.ask_at();
+    if (!ask_at || current < *ask_at) {
+        return;
+    }
+    if (current - *ask_at < receipt_timeout) {
+        poll_nearest_replica();
+        return;
+    }
+    poll_replicas();
+    const std::optional<time_point> answered = last_witness_answer();
+    const time_point silent_since = current - witness_silence;
+    if (!answered || *answered < silent_since) {
+        witnesses_silent_at_ = current;
+        unconfirmed_.fail_not_received_before(silent_since);
+    }
+}
+
 std::vector<std::string> database_group::replica_ids() const {
     std::vector<std::string> ids;
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
@@ -661,6 +772,7 @@
         unfenced_reports_.clear();
         trust_from_record_ = false;
         read_points_.clear();
+        received_position_ = {};
     }
     primary_id_ = id;
     term_ = term;
@@ -705,12 +817,16 @@
         poll_replicas();
         return;
     }
-    // Poll a replica in the own zone first, which is fastest and cheapest; renew_evidence() polls the others
-    // if it does not answer.
+    // renew_evidence() polls the others if it does not answer.
+    poll_nearest_replica();
+}
+
+void database_group::poll_nearest_replica() {
+    // A replica in the own zone is fastest and cheapest.
     proxy_instance* nearest = nullptr;
     bool any_poll_open = false;
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
-        if (entry.first == primary_id_ || !entry.second->is_usable()) {
+        if (!is_witness(*entry.second) || !entry.second->is_usable()) {
             continue;
         }
         any_poll_open = any_poll_open || open_polls_.find(entry.first) != open_polls_.end();
@@ -928,6 +1044,13 @@
     }
 }
 
+void database_group::renew_trust_in_use(time_point current) {
+    const bool in_use = current - last_trust_use_ < trust_use_interval;
+    if (in_use && trust_.covers(current) && !trust_.covers(current + trust_renewal_lead)) {
+        poll_nearest_replica();
+    }
+}
+
 void database_group::probe_primary(time_point current) {
     proxy_instance* leader = primary();
     if (leader == nullptr) {
@@ -968,7 +1091,8 @@
         }
     }
     renew_evidence(current);
-    unconfirmed_.discard_before(current - unconfirmed_limit);
+    renew_trust_in_use(current);
+    check_unconfirmed_commits(current);
     poll_for_settlement(current);
     check_recovery(current);
     answer_zone_requests();
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -83,6 +83,9 @@
     /// made; nothing when the store does not answer.
     std::function<void(std::function<void(std::optional<term_number>)> done)> read_promoted_term;
 
+    /// Calls an action later; without it, periodic work alone finds what is due.
+    std::function<void(duration delay, std::function<void()> action)> call_after;
+
     /// Asks the daemon of this zone that collects the evidence about this group; false when this daemon has
     /// to ask the instances itself. `done` receives the answer, if any, and when it was asked for.
     std::function<bool(
@@ -123,9 +126,10 @@
     /// Returns a connection to its pool, after a rollback if a transaction is open on it.
     void return_connection(pooled_connection& connection);
     /// Confirms a write or commit, sent at `sent_at`, that an instance acknowledged. `done` is called once
-    /// with whether it is confirmed: immediately while the primary is trusted, never if that stays unknown.
+    /// with whether it is confirmed, as soon as a replica is known to have received it while the primary was
+    /// trusted; never if that stays unknown. `target_latency` is that of the statement's route.
     void confirm_commit(proxy_instance& instance, const statement_result& result, time_point sent_at,
-                        const unconfirmed_commits::handler& done);
+                        duration target_latency, const unconfirmed_commits::handler& done);
     /// Refuses the waiting statements, and from now on every further attempt, because the daemon stops.
     void refuse_new_attempts();
     /// False once refuse_new_attempts() was called.
@@ -200,6 +204,21 @@
     /// `sent_at`.
     void on_replica_evidence(const std::string& id, time_point sent_at);
     void on_evidence();
+    /// Called when a replica has stated that it has received the log up to `position`.
+    void on_replica_position(const proxy_instance& replica, log_position position);
+    /// Time from the sending of a commit for which answers to reads may show that a replica has received it.
+    [[nodiscard]] duration receipt_wait(duration target_latency, time_point current) const;
+    /// Requests proof that a replica has received the unconfirmed commits, and gives up those for which there
+    /// can be none.
+    void check_unconfirmed_commits(time_point current);
+    /// True if every promotion that may end the trust of this daemon in the primary asks this instance.
+    [[nodiscard]] bool is_witness(const proxy_instance& instance) const;
+    /// Time of the latest answer of any replica that can confirm commits.
+    [[nodiscard]] std::optional<time_point> last_witness_answer() const;
+    /// True if a replica that can confirm commits is believed to answer.
+    [[nodiscard]] bool has_reachable_witness() const;
+    /// Polls the usable replica that is nearest, unless one is being polled.
+    void poll_nearest_replica();
     [[nodiscard]] std::vector<std::string> replica_ids() const;
     /// Confirms trust when not all replicas can be polled, from the answer of one replica and the promotion
     /// record in the store.
@@ -231,6 +250,8 @@
     /// Places a read that must see every acknowledged commit while no primary serves.
     [[nodiscard]] placement place_latest_read(const placement_query& query);
     void renew_evidence(time_point current);
+    /// Polls a replica before trust that is in use expires. Once it has expired, all replicas must be polled.
+    void renew_trust_in_use(time_point current);
     /// Time up to which the primary must be known to have been the only one, for a read on it.
     [[nodiscard]] time_point trust_needed_at(const placement_query& query) const;
     /// A read must see every commit that was acknowledged before this time.
@@ -254,12 +275,20 @@
     primary_trust trust_;
     unfenced_replica_reports unfenced_reports_;
     unconfirmed_commits unconfirmed_;
+    /// Time of the last answer of a replica to a statement of a client.
+    time_point last_replica_read_;
+    /// Time at which no replica had answered for so long that unconfirmed commits were given up.
+    time_point witnesses_silent_at_;
+    /// Highest position of the present term that a witness has received.
+    log_position received_position_;
     /// Trust was confirmed by the promotion record because not all replicas answer; it is then renewed before
     /// it expires, since obtaining it again is slow.
     bool trust_from_record_ = false;
     bool reading_record_ = false;
     time_point last_record_read_;
     time_point last_evidence_use_;
+    /// Time at which a statement last relied on trust.
+    time_point last_trust_use_;
     read_points read_points_;
     /// Read points from the logs of all replicas; valid regardless of which instance is primary.
     read_points replica_read_points_;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -289,6 +289,7 @@
     added->read_promoted_term = [this, name](std::function<void(std::optional<term_number>)> done) {
         lease_.read_promoted_term(name, std::move(done));
     };
+    added->call_after = ports_.call_after;
     added->ask_zone = [this, name](const evidence_need& need, zone_evidence::answer_handler done) {
         const bool is_asked = evidence_.ask(name, need, std::move(done));
         if (is_asked) {
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -38,7 +38,8 @@
       settings_(settings),
       clock_(std::move(clock)),
       latency_ms_(initial_latency_ms),
-      last_answer_(clock_()),
+      listed_since_(clock_()),
+      last_answer_(listed_since_),
       open_backoff_(settings.min_open_backoff) {}
 
 proxy_instance::~proxy_instance() = default;
@@ -49,6 +50,7 @@
     if (restarted) {
         close_all();
         position_.reset();
+        listed_since_ = now();
     }
 }
 
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -103,6 +103,8 @@
     [[nodiscard]] double expected_ms() const;
     /// Highest log position reported by the instance.
     [[nodiscard]] const std::optional<log_position>& position() const { return position_; }
+    /// Time at which this run of the instance became known to this daemon.
+    [[nodiscard]] time_point listed_since() const { return listed_since_; }
     /// Time of the last answer.
     [[nodiscard]] time_point last_answer() const { return last_answer_; }
     /// Number of connections with unanswered commands.
@@ -139,6 +141,7 @@
     std::vector<std::unique_ptr<pooled_connection>> ended_;
     std::optional<log_position> position_;
     double latency_ms_;
+    time_point listed_since_;
     time_point last_answer_;
     time_point paused_until_;
     time_point next_open_at_;
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -226,17 +226,18 @@
     return_connection(current);
     const std::shared_ptr<statement_result> pending_result =
         std::make_shared<statement_result>(std::move(result));
-    group_.confirm_commit(
-        owner, *pending_result, sent_at, [this, keep = shared_from_this(), pending_result](bool confirmed) {
-            if (finished_) {
-                return;
-            }
-            if (confirmed) {
-                finish(std::move(*pending_result), nullptr);
-            } else {
-                refuse(statement_outcome::in_doubt, "acknowledged by a primary that was replaced");
-            }
-        });
+    group_.confirm_commit(owner, *pending_result, sent_at, request_.selected_route->target_latency,
+                          [this, keep = shared_from_this(), pending_result](bool confirmed) {
+                              if (finished_) {
+                                  return;
+                              }
+                              if (confirmed) {
+                                  finish(std::move(*pending_result), nullptr);
+                              } else {
+                                  refuse(statement_outcome::in_doubt,
+                                         "acknowledged, but not known to be kept by a replica");
+                              }
+                          });
 }
 
 void statement_task::on_lost(const attempt_pointer& current) {
--- a/tests/freshness/primary_trust_tests.cpp
+++ b/tests/freshness/primary_trust_tests.cpp
@@ -44,16 +44,18 @@
     primary_trust trust{400ms};
     std::optional<bool> confirmed;
 
-    void add(term_number term, time_point received_at) {
-        commits.add(term, received_at, [this](bool result) { confirmed = result; });
+    void add(log_position position, time_point acknowledged_at) {
+        commits.add(position, acknowledged_at - 5ms, acknowledged_at, acknowledged_at + 20ms,
+                    [this](bool result) { confirmed = result; });
     }
 };
 
 } // namespace
 
 // Guards against confirming a commit to a client although its primary may have been superseded.
-TEST_CASE_FIXTURE(commits_fixture, "unconfirmed_commits_wait_until_trust_covers_the_acknowledgement") {
-    add(3, time_point{10s});
+TEST_CASE_FIXTURE(commits_fixture, "unconfirmed_commits_wait_until_trust_covers_the_receipt") {
+    add({3, 7}, time_point{10s});
+    CHECK(commits.on_received({3, 7}, time_point{10s}) == time_point{10s} - 5ms);
     trust.confirm(time_point{10s} - 400ms);
     commits.resolve(3, trust);
     CHECK(!confirmed);
@@ -63,10 +65,37 @@
     CHECK(commits.empty());
 }
 
+// Guards against confirming a commit that only a replica holds that no promotion asks.
+TEST_CASE_FIXTURE(commits_fixture, "unconfirmed_commits_wait_until_a_replica_has_received_them") {
+    add({3, 7}, time_point{10s});
+    trust.confirm(time_point{10s});
+    commits.resolve(3, trust);
+    CHECK(!confirmed);
+    CHECK(commits.ask_at() == time_point{10s} + 20ms);
+    CHECK(!commits.on_received({3, 6}, time_point{10s} + 1ms));
+    CHECK(!commits.on_received({4, 9}, time_point{10s} + 1ms));
+    commits.resolve(3, trust);
+    CHECK(!confirmed);
+    CHECK(commits.on_received({3, 8}, time_point{10s} + 2ms));
+    CHECK(!commits.ask_at());
+    commits.resolve(3, trust);
+    CHECK(confirmed == true);
+}
+
+// Guards against a client that waits until its deadline for a commit that no replica can show.
+TEST_CASE_FIXTURE(commits_fixture, "unconfirmed_commits_not_received_in_time_are_not_confirmed") {
+    add({3, 7}, time_point{10s});
+    commits.fail_not_received_before(time_point{10s});
+    CHECK(!confirmed);
+    commits.fail_not_received_before(time_point{10s} + 1ms);
+    CHECK(confirmed == false);
+    CHECK(commits.empty());
+}
+
 // Guards against a client that waits indefinitely for a commit of a replaced primary, and against rejecting a
 // commit of a newer primary.
 TEST_CASE_FIXTURE(commits_fixture, "unconfirmed_commits_of_an_older_term_are_not_confirmed") {
-    add(3, time_point{10s});
+    add({3, 7}, time_point{10s});
     commits.resolve(2, trust);
     CHECK(!confirmed);
     commits.resolve(4, trust);
--- a/tests/proxy/failover_driver_tests.cpp
+++ b/tests/proxy/failover_driver_tests.cpp
@@ -49,7 +49,7 @@
     listed.id = "i-1";
     proxy_instance former(listed, network, log, instance_pool_settings{}, clock);
     std::optional<bool> confirmed;
-    group.confirm_commit(former, statement_result{}, current,
+    group.confirm_commit(former, statement_result{}, current, 200ms,
                          [&confirmed](bool result) { confirmed = result; });
     CHECK(confirmed == false);
 }
