Restore the recorded term when a claim of the duty ends without a promotion

Cause: a claim records its term in the duty's object before any call, so that a reader knows whether a newer primary may exist. When the claim was abandoned, because a replica did not answer the removal of its fence, or when the store was away as it was released, the term stayed: a promotion that was never called counted as one that may have been made, for good. A release that the store did not take also kept the duty claimed until the takeover time.

Change: abandon() says whether a call may take effect, and restores the term if none may; the duty stays claimed. The write that ends a claim is conditional on the claim's revision and is repeated until the store has answered it. A daemon that claims again before that starts from the restored terms.

Ruled out: taking the term for unused after the takeover time. A call whose answer was lost looks the same.

Not covered: a holder that is killed between its claim and its call.

--- a/gentianhill/failover/duty_lease.cpp
+++ b/gentianhill/failover/duty_lease.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// Time after which a write that ends a claim is repeated if the store has not answered it.
+constexpr duration end_retry_pause = std::chrono::milliseconds(500);
 constexpr std::string_view first_object_name = "failover";
 /// Bits of a fencing token that hold the revision; the era is above them.
 constexpr unsigned revision_bits = 40;
@@ -132,7 +134,8 @@
         done(std::nullopt, reason);
         return;
     }
-    terms_ = terms_of(answer.object->content);
+    const bool is_end_unwritten = unwritten_end_ && unwritten_end_->revision == answer.object->revision;
+    terms_ = terms_of(is_end_unwritten ? unwritten_end_->content : answer.object->content);
     write_claim(answer.object->revision, done);
 }
 
@@ -227,6 +230,7 @@
         return;
     }
     held_ = true;
+    unwritten_end_.reset();
     claim_revision_ = revision;
     token_ = *token;
     log_.write(log_level::info, "failover", "duty_claimed", {{"token", token_}, {"holder", holder_}});
@@ -246,25 +250,65 @@
     if (promoted_term) {
         terms_[group_] = *promoted_term;
     }
+    write_end(false);
+}
+
+void duty_lease::abandon(bool may_take_effect) {
+    if (!held_) {
+        return;
+    }
+    held_ = false;
+    abandoned_until_ = now() + settings_.takeover_after;
+    log_.write(log_level::warning, "failover", "duty_abandoned",
+               {{"token", token_}, {"may_take_effect", may_take_effect}});
+    if (!may_take_effect && claim_era_ == era_.number()) {
+        write_end(true);
+    }
+}
+
+void duty_lease::write_end(bool is_active) {
     stored_object object;
     object.name = object_name(claim_era_);
     object.revision = claim_revision_;
     object.content = {{"holder", holder_},
                       {"incarnation", incarnation_},
                       {"claim", claim_number_},
-                      {"active", false},
+                      {"active", is_active},
                       {"terms", terms_}};
-    store_.put(store_collection::duties, object, [&log = log_, token = token_](const store_answer& answer) {
-        log.write(log_level::info, "failover", "duty_released",
-                  {{"token", token}, {"outcome", to_string(answer.outcome)}});
-    });
+    unwritten_end_ = std::move(object);
+    send_end();
+}
+
+void duty_lease::send_end() {
+    is_writing_end_ = true;
+    next_end_write_at_ = now() + end_retry_pause;
+    const stored_object object = *unwritten_end_;
+    store_.put(store_collection::duties, object,
+               [this, revision = object.revision, token = token_,
+                alive = std::weak_ptr<bool>(alive_)](const store_answer& answer) {
+                   if (alive.expired()) {
+                       return;
+                   }
+                   log_.write(log_level::info, "failover", "claim_ended",
+                              {{"token", token}, {"outcome", to_string(answer.outcome)}});
+                   is_writing_end_ = false;
+                   // A claim that was not ended in the store keeps its term recorded, as if it had been used.
+                   const bool is_answered =
+                       answer.outcome != store_outcome::unknown && answer.outcome != store_outcome::refused;
+                   if (is_answered && unwritten_end_ && unwritten_end_->revision == revision) {
+                       unwritten_end_.reset();
+                   }
+               });
 }
 
-void duty_lease::abandon() {
-    if (held_) {
-        held_ = false;
-        abandoned_until_ = now() + settings_.takeover_after;
-        log_.write(log_level::warning, "failover", "duty_abandoned", {{"token", token_}});
+void duty_lease::tick() {
+    if (!unwritten_end_ || is_writing_end_ || now() < next_end_write_at_) {
+        return;
+    }
+    if (claim_era_ == era_.number()) {
+        send_end();
+    } else {
+        unwritten_end_.reset();
     }
 }
 
--- a/gentianhill/failover/duty_lease.h
+++ b/gentianhill/failover/duty_lease.h
@@ -74,7 +74,10 @@
     void release(std::optional<term_number> promoted_term);
     /// Stops acting without releasing the duty, because requests sent under it may still be in flight. Every
     /// daemon, including this one, has to wait for `takeover_after` before it can claim the duty again.
-    void abandon();
+    /// Unless a promotion `may_take_effect`, the recorded term is restored to its value before the claim.
+    void abandon(bool may_take_effect);
+    /// Repeats the write that ends a claim until the store has answered it; call it regularly.
+    void tick();
     /// Reads from the store the highest term of `group` that any holder of the duty has promoted or may have
     /// promoted: 0 if there is none, no value if the store does not answer. In an era above 0 a restore may
     /// have removed earlier terms, so there is no value without a base term or a promotion of
@@ -102,6 +105,9 @@
     void on_written(const store_answer& answer, const claim_handler& done);
     void read_back(const claim_handler& done);
     [[nodiscard]] bool is_own_claim(const stored_object& object) const;
+    /// Writes how the claim has ended, unless another holder has replaced it.
+    void write_end(bool is_active);
+    void send_end();
     void grant(std::uint64_t revision, const claim_handler& done);
     /// Term of `group` in an answer to a read of the object of `era`.
     std::optional<term_number> promoted_term(const store_answer& answer, std::uint64_t era,
@@ -126,6 +132,10 @@
     std::uint64_t claim_number_ = 0;
     std::optional<time_point> sent_at_;
     bool held_ = false;
+    /// Object that ends the most recent claim, until the store has answered its write.
+    std::optional<stored_object> unwritten_end_;
+    bool is_writing_end_ = false;
+    time_point next_end_write_at_;
     /// After `abandon`, this process makes no claim before this time.
     std::optional<time_point> abandoned_until_;
     /// Era in which the current or most recent claim was decided.
--- a/gentianhill/failover/fenced_promotion.cpp
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -447,7 +447,7 @@
                        : outcome == fenced_promotion_outcome::fences_released ? std::optional(known_term_)
                                                                               : std::nullopt);
     } else {
-        lease_.abandon();
+        lease_.abandon(may_take_effect_);
     }
     log_.write(outcome == fenced_promotion_outcome::promoted ? log_level::info : log_level::warning,
                "failover", "promotion_ended",
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -239,6 +239,7 @@
     directory_.tick(relay_.is_store_reachable());
     relay_.tick();
     store_calls_.tick(now);
+    lease_.tick();
     observe_era();
     record_members(now);
     record_terms(now);
--- a/tests/failover/duty_lease_tests.cpp
+++ b/tests/failover/duty_lease_tests.cpp
@@ -17,6 +17,7 @@
     std::optional<stored_object> object;
     std::uint64_t revision = 10;
     bool lose_next_answer = false;
+    bool refuses_writes = false;
     metadata_store store;
     logger log;
 
@@ -31,6 +32,11 @@
         store.put = [this](store_collection, const stored_object& written,
                            const metadata_store::handler& done) {
             store_answer answer;
+            if (refuses_writes) {
+                answer.outcome = store_outcome::refused;
+                done(answer);
+                return;
+            }
             if (written.revision != (object ? object->revision : 0)) {
                 answer.outcome = store_outcome::conflict;
                 done(answer);
@@ -183,7 +189,7 @@
     const std::unique_ptr<duty_lease> second = make("b", "1");
     REQUIRE(claim(*first));
     CHECK(!claim(*second));
-    first->abandon();
+    first->abandon(true);
     CHECK(!first->is_held());
     CHECK(!claim(*first));
     CHECK(!claim(*second));
@@ -191,6 +197,61 @@
     CHECK(claim(*first));
 }
 
+// Guards against a term that counts as promoted for good although no call was made, so that nobody can tell
+// that the former primary holds every commit.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_abandoned_without_a_call_restores_the_recorded_term") {
+    const std::unique_ptr<duty_lease> lease = make("a", "1");
+    std::optional<term_number> recorded;
+    const auto read = [&] {
+        lease->read_promoted_term("test", [&recorded](std::optional<term_number> term) { recorded = term; });
+        return recorded;
+    };
+    REQUIRE(claim(*lease));
+    SUBCASE("the call may take effect") {
+        lease->abandon(true);
+        CHECK(read() == term_number{2});
+    }
+    SUBCASE("no call was made") {
+        lease->abandon(false);
+        CHECK(read() == term_number{0});
+        CHECK(object->content.at("active").get<bool>());
+    }
+    SUBCASE("the store refuses the write at first") {
+        refuses_writes = true;
+        lease->abandon(false);
+        CHECK(read() == term_number{2});
+        refuses_writes = false;
+        lease->tick();
+        CHECK(read() == term_number{2});
+        current += 1s;
+        lease->tick();
+        CHECK(read() == term_number{0});
+    }
+    SUBCASE("the daemon claims again before the store has taken the write") {
+        refuses_writes = true;
+        lease->abandon(false);
+        refuses_writes = false;
+        current += duty_lease_settings{}.takeover_after;
+        REQUIRE(claim(*lease));
+        lease->release(std::nullopt);
+        CHECK(read() == term_number{0});
+    }
+}
+
+// Guards against a duty that stays claimed because the store was away when it was released.
+TEST_CASE_FIXTURE(lease_fixture, "duty_lease_release_is_repeated_until_the_store_answers") {
+    const std::unique_ptr<duty_lease> first = make("a", "1");
+    const std::unique_ptr<duty_lease> second = make("b", "1");
+    REQUIRE(claim(*first));
+    refuses_writes = true;
+    first->release(2);
+    refuses_writes = false;
+    CHECK(!claim(*second));
+    current += 1s;
+    first->tick();
+    CHECK(claim(*second));
+}
+
 namespace {
 
 /// Lease holders on a store that is restored from a copy.
