Lead a group on when a replica leaves while its primary is being replaced

Cause: the primary is told to step down when the replicas are fenced. If a replica that has drained exits before the second look, the attempt ends, nobody leads, and the departure unsettles the group. From then on it could be settled only by a position of a primary.

Ruled out: giving the order just before the call. Writes of the whole wait would go to a primary that can't acknowledge them and end in doubt, and the exits after the order remain.

Change: a fenced replica receives nothing, so a leaving one that is silent at the second look is passed over if another one holds all that it held.

Open: all daemons restart, or the holder is killed after its claim, while nobody leads and a recorded member has left (docs/platform.md, Limits).

--- a/gentianhill/failover/fenced_promotion.cpp
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -82,7 +82,7 @@
                 if (fence) {
                     self->fenced_ = self->answers_;
                 }
-                if (self->missing_answer_) {
+                if (self->missing_answer_ && !self->can_pass_over_missing()) {
                     self->finish(fenced_promotion_outcome::replica_unreachable);
                 } else {
                     ((*self).*next)();
@@ -257,11 +257,34 @@
             } else if (self->has_unknown_member(*listed)) {
                 self->finish(fenced_promotion_outcome::fence_lost);
             } else {
+                self->update_leaving(*listed);
                 self->ask_all(false, &fenced_promotion::on_replicas_rechecked);
             }
         });
 }
 
+void fenced_promotion::update_leaving(const std::vector<promotion_member>& listed) {
+    for (const promotion_member& replica : replicas_) {
+        const std::vector<promotion_member>::const_iterator found =
+            std::find_if(listed.begin(), listed.end(),
+                         [&replica](const promotion_member& member) { return member.id == replica.id; });
+        if (replica.draining || found == listed.end() || found->draining) {
+            leaving_.insert(replica.id);
+        }
+    }
+}
+
+bool fenced_promotion::can_pass_over_missing() const {
+    // A fenced replica receives nothing, so its log has not grown since. One that leaves does not start again
+    // without its fence.
+    const log_position longest = longest_log_end();
+    return std::all_of(replicas_.begin(), replicas_.end(), [&](const promotion_member& replica) {
+        const std::map<std::string, member_answer>::const_iterator fenced = fenced_.find(replica.id);
+        return answers_.count(replica.id) > 0 || (leaving_.count(replica.id) > 0 && fenced != fenced_.end() &&
+                                                  fenced->second.status.log_end <= longest);
+    });
+}
+
 void fenced_promotion::on_replicas_rechecked() {
     for (const std::map<std::string, member_answer>::value_type& answer : answers_) {
         const member_answer& before = fenced_.at(answer.first);
@@ -295,7 +318,8 @@
     const log_position longest = longest_log_end();
     std::string draining;
     for (const promotion_member& replica : replicas_) {
-        if (answers_.at(replica.id).status.log_end != longest) {
+        const std::map<std::string, member_answer>::const_iterator answer = answers_.find(replica.id);
+        if (answer == answers_.end() || answer->second.status.log_end != longest) {
             continue;
         }
         if (!replica.draining) {
--- a/gentianhill/failover/fenced_promotion.h
+++ b/gentianhill/failover/fenced_promotion.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -162,6 +163,11 @@
     [[nodiscard]] bool is_known(const promotion_member& member) const;
     [[nodiscard]] bool has_unknown_member(const std::vector<promotion_member>& listed) const;
     void add_missing_members(const std::vector<promotion_member>& listed);
+    /// Marks the replicas that are leaving or have left.
+    void update_leaving(const std::vector<promotion_member>& listed);
+    /// True if every replica without an answer has left after it was fenced, and another one holds all that
+    /// it held.
+    [[nodiscard]] bool can_pass_over_missing() const;
     [[nodiscard]] log_position longest_log_end() const;
     [[nodiscard]] std::string choose_candidate() const;
 
@@ -180,6 +186,8 @@
     std::map<std::string, member_answer> answers_;
     /// Answers to the fence requests.
     std::map<std::string, member_answer> fenced_;
+    /// Replicas that are leaving or have left, by the list that was read after the fences.
+    std::set<std::string> leaving_;
     std::size_t unanswered_ = 0;
     bool missing_answer_ = false;
     bool replace_if_replicating_ = false;
--- a/gentianhill/failover/former_primary.h
+++ b/gentianhill/failover/former_primary.h
@@ -11,8 +11,8 @@
 /// after it has stepped down.
 ///
 /// Every commit acknowledged in its term is in its log, because no other instance led that term. While it
-/// keeps this log and no member has left, the group can be settled by it instead of by a primary's answer
-/// (see `membership_settlement`).
+/// keeps this log and no newer term has been led, the group can be settled by it instead of by a primary's
+/// answer (see `membership_settlement`).
 class former_primary {
 public:
     /// Records that an instance leads `term` with a log up to `log_end`; `started_at_ms` is the start time in
--- a/gentianhill/failover/membership_settlement.h
+++ b/gentianhill/failover/membership_settlement.h
@@ -41,11 +41,12 @@
         return true;
     }
     /// Records that a current replica, in its answer to a request sent at `sent_at`, has shown that it holds
-    /// the log with which it led the newest known term; returns true if this settles the group. It does not
-    /// after a departure: the member that left may have acknowledged commits of a newer primary, of which
-    /// this replica knows nothing.
-    [[nodiscard]] bool on_former_primary(log_position log_end, time_point sent_at) {
-        if (settled_ || !members_kept_ || sent_at < evidence_from_) {
+    /// the log with which it led the newest known term; returns true if this settles the group. After a
+    /// departure it does so only with `no_newer_term`, that is, if the store shows that no newer term has
+    /// been promoted: the member that left may have acknowledged commits of a newer primary, of which this
+    /// replica knows nothing.
+    [[nodiscard]] bool on_former_primary(log_position log_end, time_point sent_at, bool no_newer_term) {
+        if (settled_ || (!members_kept_ && !no_newer_term) || sent_at < evidence_from_) {
             return false;
         }
         required_position_ = log_end;
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -619,21 +619,58 @@
     const bool holds_all_of_term =
         primary_id_.empty() && former_primary_.holds_log(listed.id, listed.started_at_ms, term_);
     // A draining replica will be removed as well, so its position does not count.
-    const bool settles = (holds_all_of_term && settlement_.on_former_primary(status.log_end, sent_at)) ||
-                         (!listed.draining && settlement_.on_replica_position(status.log_end));
-    if (!settles) {
-        return;
+    const bool settles =
+        (holds_all_of_term && settlement_.on_former_primary(status.log_end, sent_at, false)) ||
+        (!listed.draining && settlement_.on_replica_position(status.log_end));
+    if (settles) {
+        on_settled_by(listed.id, status.log_end);
+    } else if (holds_all_of_term && settlement_.needs_position(sent_at)) {
+        check_former_primary(listed.id, status.log_end, sent_at);
     }
+}
+
+void database_group::on_settled_by(const std::string& id, log_position position) {
     log_.write(log_level::info, "group", "members_settled",
                {{"group", name_},
-                {"instance", listed.id},
-                {"position", status.log_end.position},
+                {"instance", id},
+                {"position", position.position},
                 {"former_primary", settlement_.is_settled_by_former_primary()}});
     if (on_settled) {
         on_settled();
     }
 }
 
+void database_group::check_former_primary(const std::string& id, log_position log_end, time_point sent_at) {
+    const time_point current = now();
+    if (checking_former_primary_ || !read_promoted_term ||
+        current - former_primary_checked_at_ < record_read_interval) {
+        return;
+    }
+    checking_former_primary_ = true;
+    former_primary_checked_at_ = current;
+    // Read after the answer, so the record includes any promotion made before it.
+    read_promoted_term([this, id, log_end, sent_at, term = term_,
+                        alive = std::weak_ptr<bool>(alive_)](std::optional<term_number> promoted) {
+        if (alive.expired()) {
+            return;
+        }
+        checking_former_primary_ = false;
+        const proxy_instance* replica = find(id);
+        const bool holds_log = replica != nullptr && primary_id_.empty() && term == term_ &&
+                               former_primary_.holds_log(id, replica->listed().started_at_ms, term);
+        log_.write(log_level::info, "group", "former_primary_checked",
+                   {{"group", name_},
+                    {"instance", id},
+                    {"answered", promoted.has_value()},
+                    {"promoted_term", promoted.value_or(0)},
+                    {"holds_log", holds_log}});
+        if (holds_log && promoted && is_newest(*promoted) &&
+            settlement_.on_former_primary(log_end, sent_at, true)) {
+            on_settled_by(id, log_end);
+        }
+    });
+}
+
 void database_group::on_replica_evidence(const std::string& id, time_point sent_at) {
     unfenced_reports_.add(id, sent_at);
     const proxy_instance* replica = find(id);
@@ -750,7 +787,7 @@
         }
         reading_record_ = false;
         last_record_read_ = now();
-        const bool none_since = promoted && (*promoted == term || (*promoted == 0 && term == first_term));
+        const bool none_since = promoted && is_newest(*promoted);
         log_.write(log_level::info, "group", "promotion_record_read",
                    {{"group", name_}, {"answered", promoted.has_value()}, {"none_since", none_since}});
         if (none_since && leader == primary_id_ && term == term_) {
@@ -761,6 +798,10 @@
     });
 }
 
+bool database_group::is_newest(term_number promoted) const {
+    return promoted == term_ || (promoted == 0 && term_ == first_term);
+}
+
 void database_group::set_primary(const std::string& id, term_number term) {
     if (id == primary_id_ && term == term_) {
         return;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -200,6 +200,10 @@
     void set_primary(const std::string& id, term_number term);
     /// Settles the group by the answer of a replica to a status call sent at `sent_at`, if it suffices.
     void settle_by_replica(const proxy_instance& replica, const instance_status& status, time_point sent_at);
+    /// Settles the group by its former primary, whose status call was sent at `sent_at`, if the store shows
+    /// that no newer term has been promoted.
+    void check_former_primary(const std::string& id, log_position log_end, time_point sent_at);
+    void on_settled_by(const std::string& id, log_position position);
     /// Called when a replica that follows the primary and is not fenced has answered a status call sent at
     /// `sent_at`.
     void on_replica_evidence(const std::string& id, time_point sent_at);
@@ -223,6 +227,8 @@
     /// Confirms trust when not all replicas can be polled, from the answer of one replica and the promotion
     /// record in the store.
     void read_promotion_record();
+    /// True if the newest known term is the one that the store states as the newest promoted one.
+    [[nodiscard]] bool is_newest(term_number promoted) const;
     /// Requests evidence for a use now, from the zone or from the instances.
     void request_evidence_from_instances();
     /// Requests a read point that is not older than `oldest`, from the zone or from the instances.
@@ -285,6 +291,8 @@
     /// it expires, since obtaining it again is slow.
     bool trust_from_record_ = false;
     bool reading_record_ = false;
+    /// The promotion record is being read to learn whether the former primary was the last one.
+    bool checking_former_primary_ = false;
     time_point last_record_read_;
     time_point last_evidence_use_;
     /// Time at which a statement last relied on trust.
@@ -295,6 +303,7 @@
     replica_log_poll replica_log_poll_;
     membership_settlement settlement_;
     former_primary former_primary_;
+    time_point former_primary_checked_at_;
     /// Era of the metadata store in which the group is settled or to be settled.
     std::uint64_t era_ = 0;
     time_point last_settlement_poll_;
--- a/tests/failover/fenced_promotion_tests.cpp
+++ b/tests/failover/fenced_promotion_tests.cpp
@@ -22,6 +22,9 @@
     std::vector<std::pair<time_point, std::function<void()>>> scheduled;
 
     std::map<std::string, instance_status> statuses;
+    /// Instances that answer nothing after their fence.
+    std::set<std::string> silent_after_fence;
+    bool b_is_leaving = false;
     /// Instances that do not answer an unfence request.
     std::set<std::string> unfence_unanswered;
     std::vector<std::string> unfenced;
@@ -59,7 +62,8 @@
     fenced_promotion_hooks make_hooks() {
         fenced_promotion_hooks hooks;
         hooks.ask_status = [this](const std::string& id, const fenced_promotion_hooks::answer_handler& done) {
-            done(member_answer{1, statuses[id]});
+            const bool is_silent = silent_after_fence.count(id) > 0 && statuses[id].fenced_term > 0;
+            done(is_silent ? std::nullopt : std::optional(member_answer{1, statuses[id]}));
         };
         hooks.fence = [this](const std::string& id, term_number term,
                              const fenced_promotion_hooks::answer_handler& done) {
@@ -79,8 +83,8 @@
         };
         hooks.step_down = [](const std::string&, term_number) {};
         hooks.list_members =
-            [](const std::function<void(const std::optional<std::vector<promotion_member>>&)>& done) {
-                done(std::vector<promotion_member>{{"p", false}, {"a", false}, {"b", false}});
+            [this](const std::function<void(const std::optional<std::vector<promotion_member>>&)>& done) {
+                done(std::vector<promotion_member>{{"p", false}, {"a", false}, {"b", b_is_leaving}});
             };
         hooks.is_settled = [] { return true; };
         hooks.settled_position = [this] { return settled_position; };
@@ -234,3 +238,34 @@
     CHECK(duty_is_free());
     CHECK(recorded_term() == 4);
 }
+
+// Guards against a group that stays without a primary because a replica has left, as planned, in the middle
+// of a promotion for which the old primary was told to step down.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_replica_that_leaves_after_its_fence_is_passed_over") {
+    silent_after_fence.insert("b");
+    b_is_leaving = true;
+    on_call = [this] {
+        statuses["a"].is_primary = true;
+        statuses["a"].term = 5;
+    };
+    run();
+    CHECK(*end == fenced_promotion_outcome::promoted);
+}
+
+// Guards against a promotion that loses commits which only the replica that left has received.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_replica_that_leaves_with_a_longer_log_is_waited_for") {
+    silent_after_fence.insert("b");
+    b_is_leaving = true;
+    statuses["b"].log_end = {4, 101};
+    run();
+    CHECK(*end == fenced_promotion_outcome::replica_unreachable);
+    CHECK(calls == 0);
+}
+
+// Guards against a promotion beside a replica that has crashed and may start again without its fence.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_silent_replica_that_is_not_leaving_is_waited_for") {
+    silent_after_fence.insert("b");
+    run();
+    CHECK(*end == fenced_promotion_outcome::replica_unreachable);
+    CHECK(calls == 0);
+}
--- a/tests/failover/primary_failure_detector_tests.cpp
+++ b/tests/failover/primary_failure_detector_tests.cpp
@@ -71,20 +71,30 @@
 TEST_CASE("membership_settlement_after_a_departure_is_not_settled_by_a_former_primary") {
     membership_settlement settlement;
     settlement.unsettle(time_point{10s});
-    CHECK(!settlement.on_former_primary({1, 8}, time_point{11s}));
+    CHECK(!settlement.on_former_primary({1, 8}, time_point{11s}, false));
     settlement.settle();
     settlement.unsettle(time_point{12s});
     settlement.unsettle_for_new_era(time_point{13s});
-    CHECK(!settlement.on_former_primary({1, 8}, time_point{14s}));
+    CHECK(!settlement.on_former_primary({1, 8}, time_point{14s}, false));
     CHECK(!settlement.is_settled());
 }
 
+// Guards against a group that is never settled again because a member has left while nobody led.
+TEST_CASE("membership_settlement_after_a_departure_is_settled_by_the_newest_former_primary") {
+    membership_settlement settlement;
+    settlement.settle();
+    settlement.unsettle(time_point{12s});
+    CHECK(!settlement.on_former_primary({1, 8}, time_point{11s}, true));
+    CHECK(settlement.on_former_primary({1, 8}, time_point{13s}, true));
+    CHECK(settlement.is_settled_by_former_primary());
+}
+
 TEST_CASE("membership_settlement_in_a_new_era_is_settled_by_a_former_primary") {
     membership_settlement settlement;
     settlement.settle();
     settlement.unsettle_for_new_era(time_point{13s});
-    CHECK(!settlement.on_former_primary({1, 8}, time_point{12s}));
-    CHECK(settlement.on_former_primary({1, 8}, time_point{14s}));
+    CHECK(!settlement.on_former_primary({1, 8}, time_point{12s}, false));
+    CHECK(settlement.on_former_primary({1, 8}, time_point{14s}, false));
     CHECK(settlement.is_settled_by_former_primary());
     CHECK(settlement.settled_position() == log_position{1, 8});
     settlement.unsettle(time_point{15s});
