Rest reads on the logs of all replicas only beside a current list of them

Cause: the longest log of all replicas covers every confirmed commit, and the replicas that the daemon knew were taken for all. The list is 700 ms old as a rule in a release, and older without the store.

Ruled out: a shorter pause of the watch, as a daemon may be cut off from the store or served by a relay that is.

Change: such a read point counts only when a list of the store was requested no earlier than the trust window before the poll; with the delay of a new replica it names each one that may hold a commit confirmed before the poll. List and polls run side by side, one list serves all groups.

Open, same class: trust that has lapsed is obtained from all known replicas (docs/platform.md, Limits).

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -1046,14 +1046,46 @@
 
 void database_group::on_replica_log(const std::string& id, const instance_status& status,
                                     time_point sent_at) {
+    const std::vector<std::string> replicas = replica_ids();
     const std::optional<replica_log_poll::snapshot> found =
-        replica_log_poll_.on_answer(id, status.log_end, sent_at, replica_ids());
-    if (found && found->replicas >= min_replicas && limits_.sync_replicas > 0 && settlement_.is_settled()) {
-        replica_read_points_.add(found->longest, found->asked_at);
-        place_waiting_tasks();
+        replica_log_poll_.on_answer(id, status.log_end, sent_at, replicas);
+    if (found) {
+        replica_logs_ = found;
+        polled_replicas_ = replicas;
+        use_replica_logs();
     }
 }
 
+void database_group::use_replica_logs() {
+    if (!replica_logs_ || replica_logs_->replicas < min_replicas || limits_.sync_replicas == 0 ||
+        !settlement_.is_settled()) {
+        replica_logs_.reset();
+        return;
+    }
+    // A replica counts for the confirmation of commits once a daemon has listed it for the trust window. So a
+    // list that is older than the poll by no more than that names each one that may hold a confirmed commit
+    // of before the poll.
+    if (members_listed_at_ + settings_.trust_window < replica_logs_->asked_at) {
+        if (list_members) {
+            list_members();
+        }
+        return;
+    }
+    const replica_log_poll::snapshot logs = *replica_logs_;
+    replica_logs_.reset();
+    if (polled_replicas_ != replica_ids()) {
+        request_replica_read_point();
+        return;
+    }
+    replica_read_points_.add(logs.longest, logs.asked_at);
+    place_waiting_tasks();
+}
+
+void database_group::on_members_listed(time_point sent_at) {
+    members_listed_at_ = std::max(members_listed_at_, sent_at);
+    use_replica_logs();
+}
+
 void database_group::poll_replicas() {
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
         if (entry.first != primary_id_) {
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -83,6 +83,10 @@
     /// made; nothing when the store does not answer.
     std::function<void(std::function<void(std::optional<term_number>)> done)> read_promoted_term;
 
+    /// Reads the instances from the store, adds those that are new, and then calls `on_members_listed`;
+    /// several requests at once cost one call. Without it, no read is served by the logs of the replicas
+    /// alone.
+    std::function<void()> list_members;
     /// Calls an action later; without it, periodic work alone finds what is due.
     std::function<void(duration delay, std::function<void()> action)> call_after;
 
@@ -105,6 +109,10 @@
     /// and have ended unseen, so the group is settled only by evidence requested at or after `evidence_from`.
     void begin_era(std::uint64_t era, time_point evidence_from);
 
+    /// Called when the group has all instances that a list of the store names, which was requested at
+    /// `sent_at`.
+    void on_members_listed(time_point sent_at);
+
     /// Sets whether this daemon is one of those that probe an idle primary often; the others find out by
     /// their statements.
     void set_prober(bool is_prober) { is_prober_ = is_prober; }
@@ -249,6 +257,9 @@
     /// without an answer from the primary.
     void request_replica_read_point();
     void on_replica_log(const std::string& id, const instance_status& status, time_point sent_at);
+    /// Adds the read point of the last complete poll of the replicas once the members are known to be
+    /// current.
+    void use_replica_logs();
     void poll_replicas();
     void poll_for_settlement(time_point current);
     void check_recovery(time_point current);
@@ -301,6 +312,11 @@
     /// Read points from the logs of all replicas; valid regardless of which instance is primary.
     read_points replica_read_points_;
     replica_log_poll replica_log_poll_;
+    /// Complete poll for which the members are not known to be current yet, and the replicas asked.
+    std::optional<replica_log_poll::snapshot> replica_logs_;
+    std::vector<std::string> polled_replicas_;
+    /// Request time of the newest list of the store whose instances the group has.
+    time_point members_listed_at_;
     membership_settlement settlement_;
     former_primary former_primary_;
     time_point former_primary_checked_at_;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -33,6 +33,8 @@
 constexpr duration slow_event_pause = 250ms;
 /// Entries of instances change often in ways that matter to nobody here.
 constexpr duration instance_event_pause = 700ms;
+/// Shortest interval between two lists of the instances for reads that rest on the logs of all replicas.
+constexpr duration member_list_pause = 100ms;
 /// Age of a source's state beyond the duration of one long poll at which the source counts as stale.
 constexpr duration state_age_margin = 1500ms;
 
@@ -290,6 +292,7 @@
     added->read_promoted_term = [this, name](std::function<void(std::optional<term_number>)> done) {
         lease_.read_promoted_term(name, std::move(done));
     };
+    added->list_members = [this] { list_members(); };
     added->call_after = ports_.call_after;
     added->ask_zone = [this, name](const evidence_need& need, zone_evidence::answer_handler done) {
         const bool is_asked = evidence_.ask(name, need, std::move(done));
@@ -525,6 +528,25 @@
                       });
 }
 
+void proxy::list_members() {
+    const time_point sent_at = ports_.now();
+    if (listing_members_ || sent_at - members_listed_at_ < member_list_pause) {
+        return;
+    }
+    listing_members_ = true;
+    members_listed_at_ = sent_at;
+    list_instances("", "", std::nullopt, std::make_shared<std::vector<listed_instance>>(),
+                   [this, sent_at](const std::optional<std::vector<listed_instance>>& listed) {
+                       listing_members_ = false;
+                       if (!listed) {
+                           return;
+                       }
+                       for (const auto& [name, members] : groups_) {
+                           members->on_members_listed(sent_at);
+                       }
+                   });
+}
+
 std::unique_ptr<client_session> proxy::open_session(const std::string& database) {
     if (routes_.find(database) == nullptr) {
         return nullptr;
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -143,6 +143,8 @@
     void record_terms(time_point now);
     [[nodiscard]] database_group& group(const std::string& name);
     /// Lists the instances of a group from the store, page by page; `era` is that of the pages before.
+    /// Lists the instances for all groups, unless that is being done.
+    void list_members();
     void list_instances(const std::string& group, const std::string& after, std::optional<std::uint64_t> era,
                         const std::shared_ptr<std::vector<listed_instance>>& found,
                         const std::function<void(const std::optional<std::vector<listed_instance>>&)>& done);
@@ -182,6 +184,9 @@
     session_environment environment_;
     graceful_stop stop_;
     std::optional<time_point> unready_since_;
+    bool listing_members_ = false;
+    /// Time at which the instances were last requested for all groups.
+    time_point members_listed_at_;
 };
 
 } // namespace gentianhill
--- a/tests/proxy/unlisted_replica_tests.cpp
+++ b/tests/proxy/unlisted_replica_tests.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 
 using namespace gentianhill;
 using namespace std::chrono_literals;
@@ -112,3 +113,86 @@
     CHECK(deployment.service.promotions() == 1);
     CHECK(deployment.service.violations().empty());
 }
+
+namespace {
+
+/// A daemon that reaches the replicas i-2 and i-3, which receive nothing, but not the primary. Another daemon
+/// confirms commits through i-4, which has joined since.
+struct latest_read_fixture : public unlisted_replica_fixture {
+    std::map<std::string, std::vector<standins::model_entry>> seen;
+    std::unique_ptr<simulated_client> reader = deployment.connect(1, "latest");
+    std::string last_write;
+
+    latest_read_fixture() {
+        deployment.service.on_read =
+            [this](const standins::model_command& command, const standins::model_connection&,
+                   const std::vector<standins::model_entry>& log) { seen[command.id] = log; };
+        client->on_done = [this](const std::string& done) {
+            last_write = done;
+            deployment.service.confirm(done);
+        };
+    }
+
+    /// The second daemon neither hears of the new instance nor can promote one.
+    void cut_second_daemon_from_store(bool is_cut) {
+        deployment.cut_from_proxies(1, is_cut);
+        if (is_cut) {
+            deployment.store.cut_hosts.insert(simulated_deployment::host_name(1));
+        } else {
+            deployment.store.cut_hosts.erase(simulated_deployment::host_name(1));
+        }
+    }
+
+    void confirm_commits_through_new_replica() {
+        cut_second_daemon_from_store(true);
+        deployment.cut(1, "i-1", true);
+        deployment.service.add("i-4");
+        deployment.list("i-4", false);
+        write_for(1s);
+        for (const char* deaf : {"i-2", "i-3"}) {
+            deployment.service.set_cut("i-1", deaf, true);
+        }
+        write_for(500ms);
+        REQUIRE(count(statement_outcome::done) > 100);
+    }
+
+    /// Sends reads for a while; returns how many were served, and checks that each saw the last write that
+    /// was done before it.
+    std::size_t read_for(duration length) {
+        std::map<std::string, std::string> required;
+        for (duration passed{0}; passed < length; passed += 50ms) {
+            required[reader->send("READ a")] = last_write;
+            write_for(50ms);
+        }
+        deployment.run_for(2s);
+        std::size_t served = 0;
+        for (const auto& [read, write] : required) {
+            if (reader->result(read) == nullptr || reader->outcome(read) != statement_outcome::done) {
+                continue;
+            }
+            ++served;
+            const std::vector<standins::model_entry>& log = seen[read];
+            CHECK(std::any_of(log.begin(), log.end(),
+                              [&required_id = write](const standins::model_entry& entry) {
+                                  return entry.id == required_id;
+                              }));
+        }
+        return served;
+    }
+};
+
+} // namespace
+
+// Guards against stale reads of a daemon without the primary that takes the replicas it knows for all there
+// are.
+TEST_CASE_FIXTURE(latest_read_fixture, "unlisted_replica_holds_commits_latest_read_is_refused_or_sees_them") {
+    confirm_commits_through_new_replica();
+    read_for(2s);
+}
+
+// Guards against refusing such reads although the store names all replicas.
+TEST_CASE_FIXTURE(latest_read_fixture, "unlisted_replica_is_found_by_the_list_latest_read_is_served") {
+    confirm_commits_through_new_replica();
+    cut_second_daemon_from_store(false);
+    CHECK(read_for(1s) > 0);
+}
