Read the objects of a store's answer one by one

Cause: parse_store_response parsed the answer as a whole. An entry that is nested too deep, is not UTF-8 or holds a number that the parser refuses made the whole list or watch unreadable, for ever.

Ruled out: a process that ends by such an entry.

Change: json_slices splits an answer at its own members and elements without parsing them, so each object is parsed alone. An object whose content can't be read keeps its name and revision and names no instance; it is logged once for each change, with its name and the field. Content may nest 32 levels, so that what a daemon has read always fits into its messages to others, which are refused as a whole beyond 64.

Open: gentianhilld's client of its own object API (store_wire) reads all objects of an answer or none.

--- a/gentianhill/core/object_reader.cpp
+++ b/gentianhill/core/object_reader.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::size_t shown_value_limit = 80;
-// Serializing a value recurses; 500,000 nested arrays, a body of 1 MB, overflowed the default stack.
-constexpr std::size_t max_nesting = 64;
 
 const nlohmann::json empty_array = nlohmann::json::array();
 const nlohmann::json empty_object = nlohmann::json::object();
@@ -55,12 +53,14 @@
 
 } // namespace
 
-std::optional<nlohmann::json> parse_json(std::string_view text, std::size_t max_bytes, error& reason) {
+std::optional<nlohmann::json> parse_json(std::string_view text, std::size_t max_bytes, error& reason,
+                                         std::size_t max_nesting) {
     if (text.size() > max_bytes) {
         reason = error{error_code::too_large, "body", fmt::format("{} bytes", text.size()),
                        fmt::format("at most {} bytes", max_bytes)};
         return std::nullopt;
     }
+    // Serializing a value recurses; 500,000 nested arrays, a body of 1 MB, overflowed the default stack.
     if (!is_nested_at_most(text, max_nesting)) {
         reason = error{error_code::too_large, "body", fmt::format("nested more than {} deep", max_nesting),
                        fmt::format("at most {} nested arrays and objects", max_nesting)};
--- a/gentianhill/core/object_reader.h
+++ b/gentianhill/core/object_reader.h
@@ -12,10 +12,14 @@
 
 namespace gentianhill {
 
-/// Parses JSON text into a value. Errors: bad_json; too_large for more bytes, or more than 64 nested arrays
-/// and objects.
+/// Arrays and objects that a JSON document may nest.
+constexpr std::size_t max_json_nesting = 64;
+
+/// Parses JSON text into a value. Errors: bad_json; too_large for more bytes, or more than `max_nesting`
+/// nested arrays and objects.
 [[nodiscard]] std::optional<nlohmann::json> parse_json(std::string_view text, std::size_t max_bytes,
-                                                       error& reason);
+                                                       error& reason,
+                                                       std::size_t max_nesting = max_json_nesting);
 
 /// JSON form of an error: {"code", "field", "value", "allowed"}.
 [[nodiscard]] nlohmann::json to_json(const error& reason);
--- a/gentianhill/metadata/metadata_store.h
+++ b/gentianhill/metadata/metadata_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gentianhill/core/error.h"
 #include "gentianhill/core/time.h"
 
 #include <nlohmann/json.hpp>
@@ -27,6 +28,8 @@
     nlohmann::json content;
     /// Era of the store when it stated the object.
     std::uint64_t era = 0;
+    /// Why the content could not be read, in which case it is null. Not passed on to other daemons.
+    error content_error{};
 };
 
 /// Change or deletion of one object.
--- a/tests/platform/entries_tests.cpp
+++ b/tests/platform/entries_tests.cpp
@@ -1,8 +1,11 @@
+#include "gentianhill/core/object_reader.h"
 #include "platform/entries.h"
 #include "platform/http_store.h"
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace gentianhill;
 using namespace gentianhill::platform;
 
@@ -131,3 +134,142 @@
         CHECK(answer.outcome == store_outcome::unknown);
     }
 }
+
+namespace {
+
+/// Entries as another writer may leave them, by what is odd about them.
+struct odd_entry_fixture {
+    const std::string instance =
+        R"({"meta":{"Name":"i-1","Revision":3},"spec":{"Backend":"b","Address":"10.0.0.1:80","Zone":"a",)"
+        R"("Capacity":5,"State":"ready","DbRole":"primary","born":1,"Sequence":1}})";
+
+    static std::string object(const std::string& name, const std::string& spec) {
+        return R"({"meta":{"Name":")" + name + R"(","Revision":7},"spec":)" + spec + "}";
+    }
+
+    /// Contents that no parser takes, and the field that the log names for each.
+    static std::vector<std::pair<std::string, std::string>> unreadable() {
+        return {{R"({"Backend":"b","Zone":)" + std::string(500'000, '[') + std::string(500'000, ']') + "}",
+                 "spec.Zone"},
+                {R"({"Zone":)" + std::string(40, '[') + std::string(40, ']') + "}", "spec.Zone"},
+                {"{\"Backend\":\"\xff\xfe\xc3\x28\"}", "spec.Backend"},
+                {"\"\xff\xfe\"", "spec"},
+                {R"({"Capacity":1e999})", "spec.Capacity"},
+                {R"({"other":-1e999})", "spec.other"},
+                {R"({"Capacity":01})", "spec.Capacity"}};
+    }
+
+    static std::optional<listed_instance> read(const std::string& field, const nlohmann::json& value,
+                                               error& reason) {
+        nlohmann::json content = {
+            {"Backend", "b"},   {"Address", "10.0.0.1:80"}, {"Zone", "a"}, {"Capacity", 5},
+            {"State", "ready"}, {"DbRole", "primary"},      {"born", 1},   {"Sequence", 1}};
+        content[field] = value;
+        const std::string text = object("i-2", content.dump());
+        const store_answer answer = parse_store_response(200, R"({"items":[)" + text + "]}");
+        REQUIRE(answer.items.size() == 1);
+        return parse_instance(answer.items[0], reason);
+    }
+};
+
+} // namespace
+
+// Guards against one entry that cannot be read and hides all others, so that no daemon knows any instance.
+TEST_CASE_FIXTURE(odd_entry_fixture, "entries_unreadable_entry_in_a_list_hides_no_other") {
+    std::string items = instance;
+    for (const auto& [spec, field] : unreadable()) {
+        items += "," + object("odd", spec);
+    }
+    const store_answer answer =
+        parse_store_response(200, R"({"items":[)" + items + R"(],"HasMore":true,"StoreRevision":530})");
+    CHECK(answer.outcome == store_outcome::done);
+    CHECK(answer.revision == 530);
+    CHECK(answer.has_more);
+    REQUIRE(answer.items.size() == unreadable().size() + 1);
+    error reason;
+    CHECK(parse_instance(answer.items[0], reason));
+    for (std::size_t index = 0; index < unreadable().size(); ++index) {
+        const stored_object& odd = answer.items[index + 1];
+        CAPTURE(index);
+        CHECK(odd.name == "odd");
+        CHECK(odd.revision == 7);
+        CHECK(odd.content.is_null());
+        CHECK(odd.content_error.field == unreadable()[index].second);
+        error refused;
+        CHECK(!parse_instance(odd, refused));
+        CHECK(refused.field == unreadable()[index].second);
+    }
+}
+
+// Guards against a watch that never gets past the change of such an entry.
+TEST_CASE_FIXTURE(odd_entry_fixture, "entries_unreadable_entry_in_a_watch_hides_no_other") {
+    for (const auto& [spec, field] : unreadable()) {
+        const store_answer answer =
+            parse_store_response(200, R"({"events":[{"Deleted":false,"Object":)" + object("odd", spec) +
+                                          R"(},{"Object":)" + instance + R"(},{"Deleted":true,"Object":)" +
+                                          object("odd", spec) + R"(}],"StoreRevision":533})");
+        CAPTURE(field);
+        CHECK(answer.outcome == store_outcome::done);
+        CHECK(answer.revision == 533);
+        REQUIRE(answer.events.size() == 3);
+        CHECK(answer.events[0].object.content_error.field == field);
+        CHECK(answer.events[1].object.name == "i-1");
+        CHECK(answer.events[2].deleted);
+    }
+}
+
+// Guards against a daemon that refuses the whole state of another one because of an entry that it has read
+// itself.
+TEST_CASE_FIXTURE(odd_entry_fixture, "entries_content_that_is_read_can_be_passed_on_in_a_message") {
+    const std::string deep = R"({"Zone":)" + std::string(31, '[') + std::string(31, ']') + "}";
+    const store_answer answer = parse_store_response(200, R"({"items":[)" + object("odd", deep) + "]}");
+    REQUIRE(answer.items.size() == 1);
+    CHECK(!answer.items[0].content_error.failed());
+    nlohmann::json message = answer.items[0].content;
+    for (int wrapper = 0; wrapper < 16; ++wrapper) {
+        message = nlohmann::json::array({message});
+    }
+    error reason;
+    CHECK(parse_json(message.dump(), 1000, reason));
+}
+
+// Guards against an entry with a number or port out of range that is taken for an instance, or ends a daemon.
+TEST_CASE_FIXTURE(odd_entry_fixture, "entries_field_out_of_range_names_no_instance") {
+    const std::vector<std::pair<std::string, nlohmann::json>> odd{{"Address", "10.0.0.1:0"},
+                                                                  {"Address", "10.0.0.1:65536"},
+                                                                  {"Address", "10.0.0.1:-1"},
+                                                                  {"Address", "10.0.0.1:1e3"},
+                                                                  {"Address", "10.0.0.1:80.5"},
+                                                                  {"Address", "10.0.0.1:"},
+                                                                  {"Address", 80},
+                                                                  {"Capacity", 0},
+                                                                  {"Capacity", -1},
+                                                                  {"Capacity", 1e300},
+                                                                  {"Capacity", 2.5},
+                                                                  {"Capacity", 18446744073709551615ULL},
+                                                                  {"Sequence", -1},
+                                                                  {"Sequence", 1e300},
+                                                                  {"Sequence", 18446744073709551615ULL},
+                                                                  {"born", -1},
+                                                                  {"born", 1e300},
+                                                                  {"born", 18446744073709551615ULL}};
+    for (const auto& [field, value] : odd) {
+        CAPTURE(field);
+        CAPTURE(value.dump());
+        error reason;
+        CHECK(!read(field, value, reason));
+        CHECK(reason.field == field);
+    }
+    error reason;
+    const std::optional<listed_instance> largest =
+        read("Capacity", std::numeric_limits<std::int64_t>::max(), reason);
+    CHECK(largest);
+}
+
+// Guards against an answer whose parts cannot be told apart that is taken for an empty list.
+TEST_CASE_FIXTURE(odd_entry_fixture, "entries_answer_with_unmatched_brackets_is_unknown") {
+    for (const char* body : {R"({"items":[{"meta":{}]})", R"({"items":{}})", R"({"items":[}])", "[]", ""}) {
+        CAPTURE(body);
+        CHECK(parse_store_response(200, body).outcome == store_outcome::unknown);
+    }
+}
