--- a/tests/platform/entries_tests.cpp
+++ b/tests/platform/entries_tests.cpp
@@ -203,7 +203,9 @@
 
 // Guards against a watch that never gets past the change of such an entry.
 TEST_CASE_FIXTURE(odd_entry_fixture, "entries_unreadable_entry_in_a_watch_hides_no_other") {
-    for (const auto& [spec, field] : unreadable()) {
+    for (const std::pair<std::string, std::string>& odd : unreadable()) {
+        const std::string& spec = odd.first;
+        const std::string& field = odd.second;
         const store_answer answer =
             parse_store_response(200, R"({"events":[{"Deleted":false,"Object":)" + object("odd", spec) +
                                           R"(},{"Object":)" + instance + R"(},{"Deleted":true,"Object":)" +
@@ -253,7 +255,9 @@
                                                                   {"born", -1},
                                                                   {"born", 1e300},
                                                                   {"born", 18446744073709551615ULL}};
-    for (const auto& [field, value] : odd) {
+    for (const std::pair<std::string, nlohmann::json>& entry : odd) {
+        const std::string& field = entry.first;
+        const nlohmann::json& value = entry.second;
         CAPTURE(field);
         CAPTURE(value.dump());
         error reason;
