Send writes while the listed replicas are too new to confirm commits

Cause: has_reachable_witness counted only replicas that had been listed for the trust window, and after a start there is none.

Change: a listed replica that answers is enough to send a write; the confirmation waits until that replica counts, at most 600 ms.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -234,7 +234,7 @@
         return {nullptr, std::nullopt, placement_wait::no_primary};
     }
     // The outcome of a write would be in doubt.
-    if (!only_reads && limits_.sync_replicas > 0 && !has_reachable_witness()) {
+    if (!only_reads && limits_.sync_replicas > 0 && !has_reachable_replica()) {
         poll_replicas();
         return {nullptr, std::nullopt, placement_wait::no_evidence};
     }
@@ -720,23 +720,23 @@
     return instance.listed().id != primary_id_ && now() - instance.listed_since() >= settings_.trust_window;
 }
 
-std::optional<time_point> database_group::last_witness_answer() const {
+std::optional<time_point> database_group::last_replica_answer() const {
     std::optional<time_point> last;
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
-        if (is_witness(*entry.second)) {
+        if (entry.first != primary_id_) {
             last = std::max(last.value_or(time_point{}), entry.second->last_answer());
         }
     }
     return last;
 }
 
-bool database_group::has_reachable_witness() const {
+bool database_group::has_reachable_replica() const {
     const time_point current = now();
     return std::any_of(instances_.begin(), instances_.end(),
                        [&](const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry) {
                            const proxy_instance& instance = *entry.second;
                            const bool silent = instance.last_answer() < witnesses_silent_at_;
-                           return is_witness(instance) &&
+                           return entry.first != primary_id_ &&
                                   ((instance.is_usable() && !silent) ||
                                    current - instance.last_answer() < witness_silence);
                        });
@@ -753,7 +753,7 @@
         return;
     }
     poll_replicas();
-    const std::optional<time_point> answered = last_witness_answer();
+    const std::optional<time_point> answered = last_replica_answer();
     const time_point silent_since = current - witness_silence;
     if (!answered || *answered < silent_since) {
         witnesses_silent_at_ = current;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -225,10 +225,10 @@
     void check_unconfirmed_commits(time_point current);
     /// True if every promotion that may end the trust of this daemon in the primary asks this instance.
     [[nodiscard]] bool is_witness(const proxy_instance& instance) const;
-    /// Time of the latest answer of any replica that can confirm commits.
-    [[nodiscard]] std::optional<time_point> last_witness_answer() const;
-    /// True if a replica that can confirm commits is believed to answer.
-    [[nodiscard]] bool has_reachable_witness() const;
+    /// Time of the latest answer of any listed replica.
+    [[nodiscard]] std::optional<time_point> last_replica_answer() const;
+    /// True if a listed replica is believed to answer; it can confirm commits now, or once it is a witness.
+    [[nodiscard]] bool has_reachable_replica() const;
     /// Polls the usable replica that is nearest, unless one is being polled.
     void poll_nearest_replica();
     [[nodiscard]] std::vector<std::string> replica_ids() const;
