Log and count answers of instances that do not fit their command

Nothing in the logs or metrics could tell whether answers come twice or connections are given back too early (docs/incidents/2026-12-06-mixed-unasked.md, hypotheses 3 and 4).

Change: answer_history judges each answer by what its command can be answered with and by the earlier answers of the connection. What does not fit is logged (pool unexpected_answer) and counted in three metrics. Nothing else changes yet: the answers are used as before.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -90,6 +90,12 @@
       status_calls(registry.add_counter("gentianhill_status_calls_total", "Status calls to instances.")),
       connections_opened(
           registry.add_counter("gentianhill_connections_opened_total", "Connections opened to instances.")),
+      answers_copied(registry.add_counter("gentianhill_answers_copied_total",
+                                          "Answers of instances that were a copy of an earlier one.")),
+      answers_ambiguous(registry.add_counter("gentianhill_answers_ambiguous_total",
+                                             "Answers of instances that may have been a copy.")),
+      answers_out_of_step(registry.add_counter("gentianhill_answers_out_of_step_total",
+                                               "Answers of instances that no command can have had.")),
       promotions(registry.add_counter("gentianhill_promotions_total", "Promotions made by this daemon.")),
       latency(registry.add_histogram("gentianhill_statement_ms", "Time from a statement to its answer.")) {}
 
@@ -126,6 +132,12 @@
         added->on_failure = [this](proxy_instance& instance, disconnect_reason reason) {
             on_failure(instance, reason);
         };
+        added->on_unexpected = [this](answer_verdict verdict) {
+            counter& unexpected = verdict == answer_verdict::copy        ? counters_.answers_copied
+                                  : verdict == answer_verdict::ambiguous ? counters_.answers_ambiguous
+                                                                         : counters_.answers_out_of_step;
+            unexpected.add();
+        };
         added->on_connection_attempt = [this] { counters_.connections_opened.add(); };
         instances_.emplace(listed.id, std::move(added));
         log_.write(log_level::info, "group", "instance_added",
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -60,6 +60,9 @@
     counter& second_reads;
     counter& status_calls;
     counter& connections_opened;
+    counter& answers_copied;
+    counter& answers_ambiguous;
+    counter& answers_out_of_step;
     counter& promotions;
     latency_histogram& latency;
 };
--- a/gentianhill/proxy/instance_link.h
+++ b/gentianhill/proxy/instance_link.h
@@ -33,6 +33,9 @@
     step_down,
 };
 
+/// Returns the name of a kind for logs.
+[[nodiscard]] std::string_view to_string(command_kind kind);
+
 /// One command to an instance. The string views must stay valid only during the call that sends it.
 struct instance_command {
     command_kind kind = command_kind::status;
@@ -63,9 +66,12 @@
 
 /// Answer of an instance to a command.
 struct instance_answer {
+    /// The signature is empty unless the instance ran a client's statement.
     statement_result result;
     /// Set for status, fence, unfence and step_down.
     std::optional<instance_status> status;
+    /// True if the answer began while no command was unanswered.
+    bool is_unsolicited = false;
 };
 
 /// Why a connection ended or could not be opened.
--- a/gentianhill/proxy/pooled_connection.cpp
+++ b/gentianhill/proxy/pooled_connection.cpp
@@ -24,6 +24,14 @@
     if (!open_) {
         return;
     }
+    const std::optional<command_kind> oldest =
+        pending_.empty() || answer.is_unsolicited ? std::nullopt : std::optional(pending_.front().kind);
+    const answer_verdict verdict = history_.judge(oldest, state_, answer);
+    if (verdict == answer_verdict::accepted) {
+        history_.add(answer);
+    } else {
+        owner_.report_unexpected_answer(*this, oldest, verdict, answer);
+    }
     if (pending_.empty()) {
         // Answer without a pending command: the stream is out of sync, so later answers cannot be trusted.
         owner_.drop(*this, disconnect_reason::lost);
--- a/gentianhill/proxy/pooled_connection.h
+++ b/gentianhill/proxy/pooled_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gentianhill/core/time.h"
+#include "gentianhill/proxy/answer_history.h"
 #include "gentianhill/proxy/instance_link.h"
 #include "gentianhill/session/connection_state.h"
 
@@ -60,6 +61,7 @@
     std::uint64_t number_;
     std::unique_ptr<instance_link> link_;
     std::deque<pending_command> pending_;
+    answer_history history_;
     transaction_state state_ = transaction_state::idle;
     time_point opened_at_;
     time_point last_used_;
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -154,6 +154,23 @@
     }
 }
 
+void proxy_instance::report_unexpected_answer(const pooled_connection& connection,
+                                              std::optional<command_kind> oldest, answer_verdict verdict,
+                                              const instance_answer& answer) {
+    log_.write(log_level::warning, "pool", "unexpected_answer",
+               {{"instance", listed_.id},
+                {"group", listed_.group},
+                {"connection", connection.number()},
+                {"verdict", to_string(verdict)},
+                {"command", oldest ? to_string(*oldest) : "none"},
+                {"outcome", to_string(answer.result.outcome)},
+                {"signature", answer.result.signature},
+                {"rows", answer.result.rows.size()}});
+    if (on_unexpected) {
+        on_unexpected(verdict);
+    }
+}
+
 void proxy_instance::on_answer(command_kind kind, time_point sent_at, const instance_answer& answer) {
     last_answer_ = now();
     if (answer.result.position && (!position_ || *position_ < *answer.result.position)) {
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -60,6 +60,8 @@
         on_answered;
     /// Called when a connection could not be opened or has failed.
     std::function<void(proxy_instance&, disconnect_reason)> on_failure;
+    /// Called for every answer that does not answer a command, for metrics.
+    std::function<void(answer_verdict)> on_unexpected;
     /// Called for every connection attempt, for metrics.
     std::function<void()> on_connection_attempt;
 
@@ -124,6 +126,9 @@
 
     std::unique_ptr<pooled_connection> open();
     [[nodiscard]] pooled_connection* find_idle() const;
+    /// Logs and counts an answer that does not answer `oldest`, the kind of the oldest unanswered command.
+    void report_unexpected_answer(const pooled_connection& connection, std::optional<command_kind> oldest,
+                                  answer_verdict verdict, const instance_answer& answer);
     void on_opened(pooled_connection& connection, const statement_result& startup_result);
     void on_answer(command_kind kind, time_point sent_at, const instance_answer& answer);
     void record_latency(time_point sent_at);
