End lines at CR LF only, and forward control characters unchanged

Cause: line_socket ended a line at LF and took a CR before it off. The protocol ends a line at CR LF, and its last field extends to the end of the line. Class: a reader that accepts more than the protocol says. Ruled out: a change where EXECUTE is rebuilt, as WRITE was cut as well.

Change, byte by byte for the last field, both directions: LF, CR, both at its end, tab, NUL and other control characters, blanks in a row and at the end belong to it and are forwarded. Text that is not UTF-8 is refused as before, since fields are text. Ids and the names of values and statements may hold no control characters, as the proxy writes them into lines and logs of its own. A line has 1 MiB at most without its line break, also when it arrives whole. Instances whose id or service holds blanks or control characters are not valid entries: the line that opens a connection would have another field or line.

--- a/tests/platform/entries_tests.cpp
+++ b/tests/platform/entries_tests.cpp
@@ -68,6 +68,15 @@
     CHECK(!parse_entry(address));
     CHECK(!parse_entry("text"));
     CHECK(!parse_entry(nullptr));
+    // These names would add a field or a line to the line that opens a connection.
+    for (const char* name : {"a b", "a\r\nQUERY - STATUS", "a\n", "\ta", "a\x7f"}) {
+        CAPTURE(name);
+        nlohmann::json group = valid_entry();
+        group["Backend"] = name;
+        CHECK(!parse_entry(group));
+        error reason;
+        CHECK(!parse_instance({name, 3, valid_entry()}, reason));
+    }
     nlohmann::json unknown = valid_entry();
     unknown["New"] = true;
     CHECK(parse_entry(unknown));
--- a/tests/platform/line_socket_tests.cpp
+++ b/tests/platform/line_socket_tests.cpp
@@ -1,3 +1,4 @@
+#include "platform/line_codec.h"
 #include "platform/line_socket.h"
 
 #include <doctest/doctest.h>
@@ -5,8 +6,12 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <netinet/in.h>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 using namespace gentianhill;
 using namespace gentianhill::platform;
@@ -41,6 +46,14 @@
         accepted_ = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         return accepted_ >= 0;
     }
+    void send(std::string_view text) const {
+        std::size_t sent = 0;
+        while (sent < text.size()) {
+            const ssize_t count = ::send(accepted_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+            REQUIRE((count > 0 || errno == EAGAIN));
+            sent += count > 0 ? static_cast<std::size_t>(count) : 0;
+        }
+    }
     /// True once the other side has closed the connection; `error` is the errno of the read, 0 for an orderly
     /// close.
     [[nodiscard]] bool is_closed(int& error) const {
@@ -62,6 +75,26 @@
     loopback_peer peer;
     std::unique_ptr<line_socket> socket = std::make_unique<line_socket>(flusher, peer.address());
 
+    std::vector<std::string> lines;
+    std::optional<socket_close_reason> close_reason;
+
+    void accept() {
+        REQUIRE(loop.run_until([this] { return peer.accept_one(); }, 2s));
+        socket->on_line = [this](std::string_view line) { lines.emplace_back(line); };
+        socket->on_close = [this](socket_close_reason reason) { close_reason = reason; };
+    }
+    /// Sends text from the peer, in parts small enough for the kernel's buffers.
+    void receive(std::string_view text) {
+        constexpr std::size_t part_bytes = 4096;
+        for (std::size_t at = 0; at < text.size(); at += part_bytes) {
+            peer.send(text.substr(at, part_bytes));
+            loop.run_until([] { return false; }, 1ms);
+        }
+    }
+    bool await_lines(std::size_t count) {
+        return loop.run_until([this, count] { return lines.size() >= count; }, 2s);
+    }
+
     /// Destroys the socket and returns the error that the peer's read reports: 0 for an orderly close.
     int error_at_peer() {
         REQUIRE(loop.run_until([this] { return peer.accept_one(); }, 2s));
@@ -85,3 +118,40 @@
     socket->reset_on_close();
     CHECK(error_at_peer() == ECONNRESET);
 }
+
+// Guards against a statement that is cut at a line feed in its data, and an instance that runs the first
+// part.
+TEST_CASE_FIXTURE(socket_fixture, "line_socket_line_feed_or_carriage_return_alone_belongs_to_the_line") {
+    accept();
+    receive("a\nb\r\n\nc\rd\r\ne\r\r\n\n\r\n\r\n");
+    REQUIRE(await_lines(5));
+    CHECK(lines == std::vector<std::string>{"a\nb", "\nc\rd", "e\r", "\n", ""});
+}
+
+// Guards against a line break that is not recognised when its two bytes arrive one after the other.
+TEST_CASE_FIXTURE(socket_fixture, "line_socket_line_break_in_two_parts_ends_the_line") {
+    accept();
+    receive("first\r");
+    CHECK(!loop.run_until([this] { return !lines.empty(); }, 20ms));
+    receive("\nsecond\r");
+    receive("x\r\n");
+    REQUIRE(await_lines(2));
+    CHECK(lines == std::vector<std::string>{"first", "second\rx"});
+}
+
+// Guards against a limit that a line of exactly the allowed length exceeds, or that a longer line keeps.
+TEST_CASE_FIXTURE(socket_fixture,
+                  "line_socket_line_of_the_maximum_length_is_received_and_a_longer_one_refused") {
+    accept();
+    receive(std::string(max_message_bytes, 'x'));
+    receive("\r");
+    receive("\n");
+    REQUIRE(await_lines(1));
+    CHECK(lines.front().size() == max_message_bytes);
+    CHECK(!close_reason);
+    receive(std::string(max_message_bytes + 1, 'x'));
+    receive("\r\n");
+    REQUIRE(loop.run_until([this] { return close_reason.has_value(); }, 2s));
+    CHECK(close_reason == socket_close_reason::line_too_long);
+    CHECK(lines.size() == 1);
+}
