Rest a connection after a refusal that may be a copy, instead of closing it

Cause: each refusal equal to an earlier one closed its connection.

Change: outside of transactions, a refusal of a statement that changes nothing, by an instance that has not repeated itself, is taken, and the connection rests for 100 ms, in which an answer that it took the place of is recognised. A statement prefers connections where a refusal now would differ from the last one, since the log has grown; a write takes no other.

--- a/gentianhill/proxy/answer_history.cpp
+++ b/gentianhill/proxy/answer_history.cpp
@@ -118,6 +118,10 @@
     return !is_signed && is_older ? answer_verdict::ambiguous : answer_verdict::accepted;
 }
 
+bool answer_history::may_repeat_error(const std::optional<log_position>& position) const {
+    return !errors_.empty() && (!position || !last_error_position_ || *last_error_position_ >= *position);
+}
+
 bool answer_history::was_seen(const instance_answer& answer) const {
     const statement_result& result = answer.result;
     return result.outcome == statement_outcome::done
@@ -130,6 +134,7 @@
     is_in_step_ = !result.signature.empty() || !was_seen(answer);
     if (result.outcome != statement_outcome::done) {
         errors_.insert(hash_of_error(result));
+        last_error_position_ = result.position;
     } else if (!result.signature.empty()) {
         signatures_.insert(hash_of(result.signature));
     } else {
--- a/gentianhill/proxy/answer_history.h
+++ b/gentianhill/proxy/answer_history.h
@@ -41,8 +41,9 @@
     /// Records an accepted answer.
     void add(const instance_answer& answer);
 
-    /// True if a command was refused or has failed. A further refusal could not be told from a copy.
-    [[nodiscard]] bool has_error() const { return !errors_.empty(); }
+    /// True if an error received now could equal an earlier one: the log of the instance, last known to end
+    /// at `position`, has not grown since.
+    [[nodiscard]] bool may_repeat_error(const std::optional<log_position>& position) const;
     /// True if a transaction was begun.
     [[nodiscard]] bool has_begun() const;
     /// True if a status row was received.
@@ -75,6 +76,8 @@
     std::optional<std::size_t> last_;
     /// The last answer cannot be a copy, so all commands up to its own have been answered.
     bool is_in_step_ = true;
+    /// Log position of the last error.
+    std::optional<log_position> last_error_position_;
     /// Highest log position of all answers.
     std::optional<log_position> newest_position_;
 };
--- a/gentianhill/proxy/pooled_connection.cpp
+++ b/gentianhill/proxy/pooled_connection.cpp
@@ -7,6 +7,13 @@
 
 namespace gentianhill {
 
+namespace {
+
+/// An instance that runs a statement has answered it by then, unless it is slow.
+constexpr duration rest_after_refusal = std::chrono::milliseconds(100);
+
+} // namespace
+
 void pooled_connection::send(const instance_command& command, answer_handler done) {
     assert(open_);
     pending_.push_back({command.kind, owner_.now(), command.changes_data, std::move(done)});
@@ -20,6 +27,15 @@
     return pending_.front().sent_at;
 }
 
+bool pooled_connection::is_resting() const {
+    return owner_.now() < rests_until_;
+}
+
+bool pooled_connection::may_accept_refusal(const instance_answer& answer) const {
+    return answer.result.outcome != statement_outcome::done && state_ == transaction_state::idle &&
+           !pending_.front().changes_data && !owner_.repeats_answers();
+}
+
 bool pooled_connection::receive(instance_answer& answer) {
     if (!open_) {
         return false;
@@ -27,7 +43,9 @@
     const std::optional<command_kind> oldest =
         pending_.empty() || answer.is_unsolicited ? std::nullopt : std::optional(pending_.front().kind);
     const answer_verdict verdict = history_.judge(oldest, state_, answer);
-    if (verdict != answer_verdict::accepted) {
+    if (verdict == answer_verdict::ambiguous && may_accept_refusal(answer)) {
+        rests_until_ = owner_.now() + rest_after_refusal;
+    } else if (verdict != answer_verdict::accepted) {
         owner_.on_unexpected_answer(*this, oldest, verdict, answer);
         return false;
     }
--- a/gentianhill/proxy/pooled_connection.h
+++ b/gentianhill/proxy/pooled_connection.h
@@ -38,6 +38,9 @@
     [[nodiscard]] bool has_unanswered() const { return !pending_.empty(); }
     /// Transaction state after the last answer.
     [[nodiscard]] transaction_state state() const { return state_; }
+    /// True while an answer may still come that the last refusal has taken the place of. No command may be
+    /// sent until then.
+    [[nodiscard]] bool is_resting() const;
     /// Answers received so far.
     [[nodiscard]] const answer_history& history() const { return history_; }
     /// Time at which the oldest unanswered command was sent.
@@ -57,6 +60,9 @@
         answer_handler done;
     };
 
+    /// True if a refusal that may be a copy can be taken for the answer: the statement is repeated whatever
+    /// has become of it, and an answer that comes afterwards is recognised while the connection rests.
+    [[nodiscard]] bool may_accept_refusal(const instance_answer& answer) const;
     /// Takes an answer; returns whether it answers the oldest unanswered command.
     bool receive(instance_answer& answer);
 
@@ -68,6 +74,7 @@
     transaction_state state_ = transaction_state::idle;
     time_point opened_at_;
     time_point last_used_;
+    time_point rests_until_;
     bool open_ = false;
     bool used_ = false;
 };
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -77,7 +77,7 @@
 bool proxy_instance::has_idle() const {
     return std::any_of(connections_.begin(), connections_.end(),
                        [](const std::unique_ptr<pooled_connection>& connection) {
-                           return connection->open_ && !connection->used_;
+                           return connection->open_ && !connection->used_ && !connection->is_resting();
                        });
 }
 
@@ -88,11 +88,11 @@
     pooled_connection* best = nullptr;
     pooled_connection* unsuitable = nullptr;
     for (const std::unique_ptr<pooled_connection>& connection : connections_) {
-        if (!connection->open_ || connection->used_) {
+        if (!connection->open_ || connection->used_ || connection->is_resting()) {
             continue;
         }
-        // A further refusal may be a copy of an earlier one, after which the outcome would be unknown.
-        if (!is_repeatable && connection->history().has_error()) {
+        // A refusal could be a copy of the last one, after which the outcome of a write would be unknown.
+        if (connection->history().may_repeat_error(position_)) {
             unsuitable = connection.get();
             continue;
         }
@@ -102,21 +102,28 @@
         }
         best = connection.get();
     }
+    if (best == nullptr && is_repeatable) {
+        best = unsuitable;
+    } else if (best == nullptr && unsuitable != nullptr && opening_count() == 0 &&
+               connections_.size() >= settings_.max_connections) {
+        // Makes room for a new connection.
+        drop(*unsuitable, disconnect_reason::closed_locally);
+    }
     if (best != nullptr) {
         best->used_ = true;
         best->last_used_ = now();
-    } else if (unsuitable != nullptr) {
-        // Makes room for a new connection.
-        drop(*unsuitable, disconnect_reason::closed_locally);
     }
     return best;
 }
 
+std::size_t proxy_instance::opening_count() const {
+    return static_cast<std::size_t>(std::count_if(
+        connections_.begin(), connections_.end(),
+        [](const std::unique_ptr<pooled_connection>& connection) { return !connection->open_; }));
+}
+
 bool proxy_instance::open_more(std::size_t wanted) {
-    std::size_t opening = 0;
-    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
-        opening += connection->open_ ? 0U : 1U;
-    }
+    std::size_t opening = opening_count();
     const time_point current = now();
     while (opening < std::min(wanted, settings_.max_opening) &&
            connections_.size() < settings_.max_connections && current >= next_open_at_) {
@@ -366,7 +373,8 @@
 
 pooled_connection* proxy_instance::find_idle_without_status() const {
     for (const std::unique_ptr<pooled_connection>& connection : connections_) {
-        if (connection->open_ && !connection->used_ && !connection->history().has_status()) {
+        if (connection->open_ && !connection->used_ && !connection->is_resting() &&
+            !connection->history().has_status()) {
             return connection.get();
         }
     }
@@ -375,7 +383,7 @@
 
 pooled_connection* proxy_instance::find_idle() const {
     for (const std::unique_ptr<pooled_connection>& connection : connections_) {
-        if (connection->open_ && !connection->used_) {
+        if (connection->open_ && !connection->used_ && !connection->is_resting()) {
             return connection.get();
         }
     }
@@ -383,6 +391,9 @@
 }
 
 pooled_connection* proxy_instance::control_connection() {
+    if (control_ != nullptr && control_->is_resting() && !control_->has_unanswered()) {
+        drop(*control_, disconnect_reason::closed_locally);
+    }
     if (control_ == nullptr) {
         const std::vector<std::unique_ptr<pooled_connection>>::iterator idle =
             std::find_if(connections_.begin(), connections_.end(),
@@ -433,13 +444,14 @@
         idle->used_ = true;
         return idle;
     }
-    if (control_ == nullptr || !control_->open_) {
+    const bool is_resting = control_ != nullptr && control_->is_resting();
+    if (control_ == nullptr || !control_->open_ || is_resting) {
         if (pooled_connection* idle = find_idle()) {
             idle->used_ = true;
             return idle;
         }
     }
-    return control_connection();
+    return is_resting ? nullptr : control_connection();
 }
 
 void proxy_instance::drop_overdue(std::uint64_t number) {
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -139,6 +139,8 @@
     friend class pooled_connection;
 
     std::unique_ptr<pooled_connection> open();
+    /// Number of connections that are being opened.
+    [[nodiscard]] std::size_t opening_count() const;
     [[nodiscard]] pooled_connection* find_idle() const;
     /// Idle connection on which no status row was received.
     [[nodiscard]] pooled_connection* find_idle_without_status() const;
--- a/tests/proxy/answer_history_tests.cpp
+++ b/tests/proxy/answer_history_tests.cpp
@@ -87,7 +87,9 @@
 TEST_CASE_FIXTURE(answer_history_fixture, "answer_history_refusal_equal_to_an_earlier_one_is_ambiguous") {
     CHECK(judge(command_kind::write, make_error(statement_outcome::busy)) == answer_verdict::accepted);
     history.add(make_error(statement_outcome::busy));
-    CHECK(history.has_error());
+    CHECK(history.may_repeat_error(std::nullopt));
+    CHECK(history.may_repeat_error(log_position{1, 7}));
+    CHECK_FALSE(history.may_repeat_error(log_position{1, 8}));
     CHECK(judge(command_kind::write, make_error(statement_outcome::busy)) == answer_verdict::ambiguous);
     CHECK(judge(command_kind::begin, make_error(statement_outcome::busy)) == answer_verdict::ambiguous);
     CHECK(judge(command_kind::write, make_error(statement_outcome::lagging)) == answer_verdict::accepted);
