Hold a refusal that may be a copy until its command can have been answered

Change: outside of transactions a refused read, BEGIN or status call is taken at once and its connection rests; after a read, the next command is one that sets up the connection, which an outstanding answer with a signature can't fit. A refused write, commit or statement of a transaction is held for 100 ms; an answer that arrives meanwhile is the true one. In a transaction, a statement that was refused as busy is sent again only when the log of the instance has grown, and given up as aborted after 100 ms.

Left: commands that set up a connection are taken to succeed; a first copy that a process sees of an instance, if it is a refusal and the true answer takes over 100 ms, gives a write the outcome not run.

--- a/gentianhill/proxy/answer_history.h
+++ b/gentianhill/proxy/answer_history.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace gentianhill {
@@ -27,6 +28,15 @@
 /// Returns the name of a verdict for logs.
 [[nodiscard]] std::string_view to_string(answer_verdict verdict);
 
+/// What is known about an unanswered command when its answer arrives.
+struct expected_answer {
+    command_kind kind = command_kind::status;
+    /// Term of a fence.
+    term_number term = 0;
+    /// Transaction state before the command.
+    transaction_state state = transaction_state::idle;
+};
+
 /// Answers received on one connection to an instance.
 ///
 /// Answers carry no identifier and are matched to commands by their order. An instance that sends an answer a
@@ -34,9 +44,9 @@
 /// answered with and against the earlier answers of the connection.
 class answer_history {
 public:
-    /// Judges an answer. `oldest` is the kind of the oldest unanswered command, or no value if there was none
-    /// when the answer began; `state` is the transaction state before that command.
-    [[nodiscard]] answer_verdict judge(std::optional<command_kind> oldest, transaction_state state,
+    /// Judges an answer. `oldest` describes the oldest unanswered command; it has no value if there was none
+    /// when the answer began.
+    [[nodiscard]] answer_verdict judge(const std::optional<expected_answer>& oldest,
                                        const instance_answer& answer) const;
     /// Records an accepted answer.
     void add(const instance_answer& answer);
@@ -51,13 +61,13 @@
     /// True if the connection should be replaced, because its history has reached its maximum size.
     [[nodiscard]] bool is_full() const { return signatures_.size() >= max_signatures; }
 
-    /// Limits the memory of a history to about 200 KB.
+    /// Limits the memory of a history to about 250 KB.
     static constexpr std::size_t max_signatures = 4096;
 
 private:
     /// Form of a successful answer without a signature.
     struct unsigned_form {
-        bool has_status = false;
+        bool has_row = false;
         transaction_state state = transaction_state::idle;
     };
     static constexpr std::size_t form_count = 6;
@@ -65,10 +75,13 @@
     [[nodiscard]] static std::size_t index_of(unsigned_form form);
     /// True if an answer without a signature may be a copy of an earlier one.
     [[nodiscard]] bool was_seen(const instance_answer& answer) const;
-    [[nodiscard]] static bool fits(command_kind kind, transaction_state state, const instance_answer& answer);
+    [[nodiscard]] static unsigned_form form_of(const instance_answer& answer);
+    [[nodiscard]] static bool fits(const expected_answer& expected, const instance_answer& answer);
+    [[nodiscard]] answer_verdict judge_error(const expected_answer& expected,
+                                             const instance_answer& answer) const;
 
-    /// Hashes of the signatures.
-    std::unordered_set<std::size_t> signatures_;
+    /// Hashes of the answers with a signature, by those of their signatures.
+    std::unordered_map<std::size_t, std::size_t> signatures_;
     /// Hashes of the answers that report an error.
     std::unordered_set<std::size_t> errors_;
     std::array<bool, form_count> unsigned_forms_{};
--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -14,6 +14,9 @@
 /// Delay before a statement of a transaction is retried at an instance that answered busy.
 constexpr duration busy_backoff = 12ms;
 constexpr std::uint32_t max_pinned_attempts = 8;
+/// Time after which a statement that was refused as busy is given up. Before it is sent again, the log of the
+/// instance must have grown, since a further refusal could not be told from a copy of the first.
+constexpr duration busy_limit = 100ms;
 constexpr std::string_view stopping_detail = "the daemon is stopping";
 constexpr std::string_view timeout_detail = "timeout of the route reached";
 
@@ -62,6 +65,7 @@
         busy_ = true;
         received_at_ = environment_.now();
         pinned_attempts_ = 0;
+        busy_since_.reset();
         if (transaction_) {
             transaction_->last_activity = received_at_;
         }
@@ -369,6 +373,7 @@
     if (result.outcome == statement_outcome::busy && result.state == transaction_state::open &&
         pinned_attempts_ < max_pinned_attempts) {
         retry_at_ = environment_.now() + busy_backoff;
+        busy_since_ = busy_since_.value_or(environment_.now());
         return;
     }
     if (result.outcome == statement_outcome::read_only) {
@@ -505,8 +510,13 @@
         give_up_pinned(timeout_detail);
         return;
     }
-    if (retry_at_ && now >= *retry_at_) {
+    if (!retry_at_ || now < *retry_at_) {
+        return;
+    }
+    if (!transaction_->connection->may_repeat_error()) {
         run_pinned(current_);
+    } else if (now - *busy_since_ >= busy_limit) {
+        give_up_pinned("the instance is busy");
     }
 }
 
--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -123,6 +123,8 @@
     time_point received_at_;
     time_point sent_at_;
     std::optional<time_point> retry_at_;
+    /// Time at which the instance first refused the statement as busy.
+    std::optional<time_point> busy_since_;
     std::uint32_t pinned_attempts_ = 0;
     /// True while an acknowledged commit waits for confirmation. `commits_` identifies the commit, so that a
     /// late confirmation of an earlier one is ignored.
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -349,9 +349,7 @@
 
 placement database_group::take_connection(proxy_instance& instance, const placement_query& query,
                                           std::optional<log_position> min_position) {
-    const bool is_repeatable =
-        query.access == access_kind::read || query.access == access_kind::read_transaction;
-    pooled_connection* connection = instance.take(*query.session, is_repeatable);
+    pooled_connection* connection = instance.take(*query.session);
     if (connection == nullptr) {
         static_cast<void>(instance.open_more(waiting_.size() + 1));
         return {nullptr, std::nullopt, placement_wait::no_connection};
@@ -557,6 +555,7 @@
     read_points_.clear();
     replica_read_points_.clear();
     replica_logs_.reset();
+    settlement_.unsettle(now());
 }
 
 void database_group::on_failure(proxy_instance& instance, disconnect_reason reason) {
--- a/gentianhill/proxy/pooled_connection.h
+++ b/gentianhill/proxy/pooled_connection.h
@@ -38,9 +38,16 @@
     [[nodiscard]] bool has_unanswered() const { return !pending_.empty(); }
     /// Transaction state after the last answer.
     [[nodiscard]] transaction_state state() const { return state_; }
-    /// True while an answer may still come that the last refusal has taken the place of. No command may be
-    /// sent until then.
+    /// True if an error received now could be a copy of the last one, after which it would be unknown whether
+    /// the command has run.
+    [[nodiscard]] bool may_repeat_error() const;
+    /// True while an answer may still come that a refusal has taken the place of. No command may be sent
+    /// until then.
     [[nodiscard]] bool is_resting() const;
+    /// True if the answer to a statement may still come that a refusal has taken the place of. The next
+    /// command must be one that has no signature, as it would then be found to be answered by another
+    /// command.
+    [[nodiscard]] bool needs_setup() const { return needs_setup_; }
     /// Answers received so far.
     [[nodiscard]] const answer_history& history() const { return history_; }
     /// Time at which the oldest unanswered command was sent.
@@ -57,12 +64,19 @@
         command_kind kind = command_kind::status;
         time_point sent_at;
         bool changes_data = false;
+        term_number term = 0;
         answer_handler done;
     };
 
-    /// True if a refusal that may be a copy can be taken for the answer: the statement is repeated whatever
-    /// has become of it, and an answer that comes afterwards is recognised while the connection rests.
-    [[nodiscard]] bool may_accept_refusal(const instance_answer& answer) const;
+    /// Handles a refusal that may be a copy, by an instance that is not known to repeat answers. Returns true
+    /// if it can be taken at once, as the command is repeated whatever has become of it. Holds it otherwise:
+    /// an answer that arrives before release_held_refusal() is the true one.
+    [[nodiscard]] bool take_uncertain_refusal(const instance_answer& answer);
+    [[nodiscard]] bool holds_refusal() const { return held_refusal_.has_value(); }
+    /// Takes the held refusal if the time for a true answer has passed.
+    void release_held_refusal();
+    /// Passes the answer to the oldest unanswered command on.
+    void take(instance_answer& answer);
     /// Takes an answer; returns whether it answers the oldest unanswered command.
     bool receive(instance_answer& answer);
 
@@ -75,6 +89,8 @@
     time_point opened_at_;
     time_point last_used_;
     time_point rests_until_;
+    bool needs_setup_ = false;
+    std::optional<instance_answer> held_refusal_;
     bool open_ = false;
     bool used_ = false;
 };
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -81,34 +81,26 @@
                        });
 }
 
-pooled_connection* proxy_instance::take(const session_state& session, bool is_repeatable) {
+pooled_connection* proxy_instance::take(const session_state& session) {
     if (in_flight() >= settings_.max_in_flight) {
         return nullptr;
     }
     pooled_connection* best = nullptr;
-    pooled_connection* unsuitable = nullptr;
+    pooled_connection* after_error = nullptr;
     for (const std::unique_ptr<pooled_connection>& connection : connections_) {
         if (!connection->open_ || connection->used_ || connection->is_resting()) {
             continue;
         }
-        // A refusal could be a copy of the last one, after which the outcome of a write would be unknown.
-        if (connection->history().may_repeat_error(position_)) {
-            unsuitable = connection.get();
+        if (connection->may_repeat_error()) {
+            after_error = connection.get();
             continue;
         }
+        best = connection.get();
         if (connection->setup.matches_values(session)) {
-            best = connection.get();
             break;
         }
-        best = connection.get();
-    }
-    if (best == nullptr && is_repeatable) {
-        best = unsuitable;
-    } else if (best == nullptr && unsuitable != nullptr && opening_count() == 0 &&
-               connections_.size() >= settings_.max_connections) {
-        // Makes room for a new connection.
-        drop(*unsuitable, disconnect_reason::closed_locally);
     }
+    best = best != nullptr ? best : after_error;
     if (best != nullptr) {
         best->used_ = true;
         best->last_used_ = now();
@@ -116,14 +108,11 @@
     return best;
 }
 
-std::size_t proxy_instance::opening_count() const {
-    return static_cast<std::size_t>(std::count_if(
-        connections_.begin(), connections_.end(),
-        [](const std::unique_ptr<pooled_connection>& connection) { return !connection->open_; }));
-}
-
 bool proxy_instance::open_more(std::size_t wanted) {
-    std::size_t opening = opening_count();
+    std::size_t opening = 0;
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        opening += connection->open_ ? 0U : 1U;
+    }
     const time_point current = now();
     while (opening < std::min(wanted, settings_.max_opening) &&
            connections_.size() < settings_.max_connections && current >= next_open_at_) {
@@ -145,10 +134,10 @@
     };
     opened->link_->on_answer = [opened](instance_answer& answer) { return opened->receive(answer); };
     opened->link_->on_disconnect = [this, opened](disconnect_reason reason) {
-        drop(*opened, reason);
-        if (reason == disconnect_reason::out_of_step) {
+        if (reason == disconnect_reason::out_of_step && opened->open_) {
             on_repetition();
         }
+        drop(*opened, reason);
     };
     if (on_connection_attempt) {
         on_connection_attempt();
@@ -179,27 +168,28 @@
     }
 }
 
-void proxy_instance::on_unexpected_answer(pooled_connection& connection, std::optional<command_kind> oldest,
+void proxy_instance::on_unexpected_answer(pooled_connection& connection,
+                                          const std::optional<expected_answer>& oldest,
                                           answer_verdict verdict, const instance_answer& answer) {
     log_.write(log_level::warning, "pool", "unexpected_answer",
                {{"instance", listed_.id},
                 {"group", listed_.group},
                 {"connection", connection.number()},
                 {"verdict", to_string(verdict)},
-                {"command", oldest ? to_string(*oldest) : "none"},
+                {"command", oldest ? to_string(oldest->kind) : "none"},
                 {"outcome", to_string(answer.result.outcome)},
                 {"signature", answer.result.signature},
                 {"rows", answer.result.rows.size()}});
     if (on_unexpected) {
         on_unexpected(verdict);
     }
-    if (verdict != answer_verdict::copy) {
-        drop(connection, disconnect_reason::out_of_step);
-    }
     // A refusal for the same reason as before is ambiguous even if the instance sends each answer once.
     if (verdict != answer_verdict::ambiguous) {
         on_repetition();
     }
+    if (verdict != answer_verdict::copy) {
+        drop(connection, disconnect_reason::out_of_step);
+    }
 }
 
 void proxy_instance::on_repetition() {
@@ -207,10 +197,11 @@
         return;
     }
     repeats_answers_ = true;
-    close_not_reusable();
+    // Before a closed connection lets another statement be placed on what is uncertain now.
     if (on_repeated_answers) {
         on_repeated_answers(*this);
     }
+    close_not_reusable();
 }
 
 void proxy_instance::close_not_reusable() {
@@ -221,7 +212,10 @@
         }
     }
     for (pooled_connection* connection : closed) {
-        drop(*connection, disconnect_reason::closed_locally);
+        // A statement that waited may have been placed on it meanwhile.
+        if (!connection->used_) {
+            drop(*connection, disconnect_reason::closed_locally);
+        }
     }
 }
 
@@ -437,6 +431,10 @@
 
 pooled_connection* proxy_instance::take_for_status_call() {
     if (repeats_answers_) {
+        if (control_ != nullptr) {
+            // Its number stands for this run of the instance while a fence is in effect.
+            control_->last_used_ = now();
+        }
         pooled_connection* idle = find_idle_without_status();
         if (idle == nullptr) {
             return single_use_connection();
@@ -493,9 +491,14 @@
             timed_out.push_back(reserved->get());
         }
     }
+    if (single_use_ && single_use_->waiting_since() &&
+        current - *single_use_->waiting_since() > settings_.suspect_after) {
+        timed_out.push_back(single_use_.get());
+    }
     for (pooled_connection* connection : timed_out) {
         drop(*connection, disconnect_reason::timed_out);
     }
+    release_held_refusals();
     close_idle(idle);
     if (control_ && control_->open_ && !control_->has_unanswered() &&
         current - control_->last_used_ > settings_.control_idle_timeout) {
@@ -507,6 +510,18 @@
     }
 }
 
+void proxy_instance::release_held_refusals() {
+    std::vector<pooled_connection*> holding;
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        if (connection->holds_refusal()) {
+            holding.push_back(connection.get());
+        }
+    }
+    for (pooled_connection* connection : holding) {
+        connection->release_held_refusal();
+    }
+}
+
 void proxy_instance::close_idle(const std::vector<pooled_connection*>& idle) {
     const std::size_t open = connections_.size();
     const std::size_t closable = open > settings_.min_idle ? open - settings_.min_idle : 0;
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -76,10 +76,9 @@
     void set_limits(const instance_pool_settings& settings) { settings_ = settings; }
     [[nodiscard]] const instance_pool_settings& limits() const { return settings_; }
 
-    /// Takes an idle connection, preferring one that already has the session's values; null when there is
-    /// none or the limit of statements in flight is reached. `is_repeatable` is false if the statement must
-    /// not be sent again when its outcome is unknown.
-    [[nodiscard]] pooled_connection* take(const session_state& session, bool is_repeatable);
+    /// Takes an idle connection, preferring one that already has the session's values, and one on which no
+    /// error could be repeated; null when there is none or the limit of statements in flight is reached.
+    [[nodiscard]] pooled_connection* take(const session_state& session);
     /// Opens connections until `wanted` are being opened, within the limits; true when any is being opened.
     bool open_more(std::size_t wanted);
     /// Returns a connection to the pool. Closes it instead if it has unanswered commands or an open
@@ -139,8 +138,7 @@
     friend class pooled_connection;
 
     std::unique_ptr<pooled_connection> open();
-    /// Number of connections that are being opened.
-    [[nodiscard]] std::size_t opening_count() const;
+    /// Idle connection on which a status call may be sent.
     [[nodiscard]] pooled_connection* find_idle() const;
     /// Idle connection on which no status row was received.
     [[nodiscard]] pooled_connection* find_idle_without_status() const;
@@ -152,12 +150,14 @@
     void close_not_reusable();
     /// True if further commands may be sent on an idle connection.
     [[nodiscard]] bool is_reusable(const pooled_connection& connection) const;
-    /// Handles an answer that does not answer `oldest`, the kind of the oldest unanswered command.
-    void on_unexpected_answer(pooled_connection& connection, std::optional<command_kind> oldest,
+    /// Handles an answer that does not answer `oldest`, the oldest unanswered command.
+    void on_unexpected_answer(pooled_connection& connection, const std::optional<expected_answer>& oldest,
                               answer_verdict verdict, const instance_answer& answer);
     void on_opened(pooled_connection& connection, const statement_result& startup_result);
     void on_answer(command_kind kind, time_point sent_at, const instance_answer& answer);
     void record_latency(time_point sent_at);
+    /// Passes on the refusals that were held for long enough.
+    void release_held_refusals();
     void close_idle(const std::vector<pooled_connection*>& idle);
     void release(std::unique_ptr<pooled_connection> connection);
 
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -105,8 +105,10 @@
 }
 
 void statement_task::set_up(const attempt_pointer& current) {
-    const std::vector<setup_step> steps =
-        current->connection->setup.plan(*request_.session, required_statement());
+    const connection_state& setup = current->connection->setup;
+    const std::vector<setup_step> steps = current->connection->needs_setup()
+                                              ? setup.plan_some(*request_.session, required_statement())
+                                              : setup.plan(*request_.session, required_statement());
     if (steps.empty()) {
         begin(current);
         return;
--- a/gentianhill/session/connection_state.cpp
+++ b/gentianhill/session/connection_state.cpp
@@ -41,6 +41,23 @@
     return steps;
 }
 
+std::vector<setup_step> connection_state::plan_some(const session_state& session,
+                                                    const prepared_statement* needed) const {
+    std::vector<setup_step> steps = plan(session, needed);
+    if (!steps.empty()) {
+        return steps;
+    }
+    if (!values_.empty()) {
+        // Sets a value to what it is.
+        return {{setup_kind::set_value, values_.begin()->first, values_.begin()->second, false}};
+    }
+    steps.push_back({setup_kind::reset, "", "", false});
+    if (needed != nullptr) {
+        steps.push_back({setup_kind::prepare, shared_statement_name(*needed), needed->shape, needed->writes});
+    }
+    return steps;
+}
+
 void connection_state::apply(const setup_step& step) {
     switch (step.kind) {
     case setup_kind::reset:
--- a/gentianhill/session/connection_state.h
+++ b/gentianhill/session/connection_state.h
@@ -31,6 +31,9 @@
     /// that prepared statement. Empty when no step is needed.
     [[nodiscard]] std::vector<setup_step> plan(const session_state& session,
                                                const prepared_statement* needed) const;
+    /// Returns steps as plan() does, but at least one, also when the connection has what the session needs.
+    [[nodiscard]] std::vector<setup_step> plan_some(const session_state& session,
+                                                    const prepared_statement* needed) const;
     /// Applies a step that the instance has acknowledged.
     void apply(const setup_step& step);
     /// True when the connection has exactly the session's values.
--- a/standins/strict_lines/answer_faults.h
+++ b/standins/strict_lines/answer_faults.h
@@ -16,6 +16,8 @@
     double cut = 0;
     /// Share of the reads, writes and commits that are refused as busy, without having run.
     double busy = 0;
+    /// Share of the reads, writes and commits that take up to 300 ms.
+    double slow = 0;
     /// Longest time until a replica applies what it has received.
     duration apply_lag = std::chrono::milliseconds(8);
     /// Share of the rows that contain line feeds, carriage returns and other control characters.
--- a/standins/strict_lines/strict_service.cpp
+++ b/standins/strict_lines/strict_service.cpp
@@ -18,6 +18,7 @@
 constexpr duration receive_time = 3ms;
 /// Time in which a read, write or commit runs, at most.
 constexpr duration work_time = 3ms;
+constexpr duration slow_work_time = 300ms;
 /// Time in which the last bytes of a closed connection are sent.
 constexpr duration close_time = 1s;
 constexpr int accept_backlog = 128;
@@ -210,7 +211,8 @@
         send_answer(from, run_own(*from, id, text));
         return;
     }
-    loop_.run_after(up_to(work_time), [this, weak = std::weak_ptr<connection>(from), id, text] {
+    const duration work = up_to(draw(faults.slow) ? slow_work_time : work_time);
+    loop_.run_after(work, [this, weak = std::weak_ptr<connection>(from), id, text] {
         const std::shared_ptr<connection> held = weak.lock();
         if (held == nullptr || !held->channel->is_open()) {
             return;
--- a/tests/proxy/answer_history_tests.cpp
+++ b/tests/proxy/answer_history_tests.cpp
@@ -34,7 +34,7 @@
 
     answer_verdict judge(command_kind kind, const instance_answer& answer,
                          transaction_state state = transaction_state::idle) const {
-        return history.judge(kind, state, answer);
+        return history.judge(expected_answer{kind, 0, state}, answer);
     }
 };
 
@@ -110,7 +110,7 @@
 TEST_CASE_FIXTURE(answer_history_fixture,
                   "answer_history_answer_without_a_command_is_a_copy_or_out_of_step") {
     const auto judge_unsolicited = [this](const instance_answer& answer) {
-        return history.judge(std::nullopt, transaction_state::idle, answer);
+        return history.judge(std::nullopt, answer);
     };
     history.add(make_answer("s1", transaction_state::idle));
     CHECK(judge_unsolicited(make_answer("s1", transaction_state::idle)) == answer_verdict::copy);
@@ -136,3 +136,39 @@
     }
     CHECK(history.is_full());
 }
+
+// Guards against rows that were received before a copy and are lost with it, so that an answer is not whole.
+TEST_CASE_FIXTURE(answer_history_fixture, "answer_history_known_signature_with_other_rows_is_out_of_step") {
+    instance_answer first = make_answer("s1", transaction_state::idle);
+    first.result.rows = {"a"};
+    history.add(first);
+    CHECK(judge(command_kind::read, first) == answer_verdict::copy);
+    first.result.rows = {"b", "a"};
+    CHECK(judge(command_kind::read, first) == answer_verdict::out_of_step);
+}
+
+// Guards against the refusal of a BEGIN that is taken for that of the statement after it, which then runs
+// alone.
+TEST_CASE_FIXTURE(answer_history_fixture,
+                  "answer_history_error_that_has_left_the_transaction_is_out_of_step") {
+    const instance_answer lagging = make_error(statement_outcome::lagging);
+    CHECK(judge(command_kind::read, lagging, transaction_state::open) == answer_verdict::out_of_step);
+    CHECK(judge(command_kind::commit, lagging, transaction_state::open) == answer_verdict::accepted);
+    CHECK(judge(command_kind::read, lagging) == answer_verdict::accepted);
+}
+
+// Guards against the row of an earlier call that is taken for a fence, or for its removal.
+TEST_CASE_FIXTURE(answer_history_fixture, "answer_history_row_without_the_effect_of_its_call_does_not_fit") {
+    const auto judge_fence = [this](const instance_answer& answer) {
+        return history.judge(expected_answer{command_kind::fence, 3, transaction_state::idle}, answer);
+    };
+    instance_answer row = make_status();
+    row.status->term = 2;
+    CHECK(judge_fence(row) == answer_verdict::out_of_step);
+    CHECK(judge(command_kind::unfence, row) == answer_verdict::accepted);
+    row.status->fenced_term = 3;
+    CHECK(judge_fence(row) == answer_verdict::accepted);
+    CHECK(judge(command_kind::unfence, row) == answer_verdict::out_of_step);
+    history.add(make_status());
+    CHECK(judge(command_kind::unfence, row) == answer_verdict::copy);
+}
--- a/tests/soak/exchange_soak.cpp
+++ b/tests/soak/exchange_soak.cpp
@@ -40,6 +40,7 @@
     {"repeat-signed", [](answer_faults& faults, client_mix&) { faults.repeat_signed = 0.1; }},
     {"cut", [](answer_faults& faults, client_mix&) { faults.cut = 0.01; }},
     {"busy", [](answer_faults& faults, client_mix&) { faults.busy = 0.05; }},
+    {"slow", [](answer_faults& faults, client_mix&) { faults.slow = 0.02; }},
     {"lag", [](answer_faults& faults, client_mix&) { faults.apply_lag = 400ms; }},
 };
 
