Take a response for whole only if its stream has ended

Callers would see: an answer that is not whole. The client took what had arrived of a response for all of it when the other side reset the stream with NO_ERROR. A cut JSON object was refused by the parsers later, but a status alone (the 200 of a removal, 404 or 409 of a write to the store, a refusal of a peer) counted at once.

Cause: a response was judged by the error code with which its stream closed. HTTP/2 ends a message with END_STREAM; a reset may carry NO_ERROR. Class: a reader that accepts more than its protocol.

Ruled out: a cut body with a content-length (nghttp2 ends the stream with an error), and a closed connection (connection_lost before and now).

Change: the client notes END_STREAM of the frame with the last part of a response; without it the request has no answer and counts as sent.

Evidence: client_response_reset_without_error_before_its_end_is_no_answer failed before (a reply of 200, no error) and passes; client_response_reset_without_error_after_its_end_is_an_answer, the allowed reset, passed before and now. unit.http2 12 of 12.

--- a/gentianhill/http2/client.cpp
+++ b/gentianhill/http2/client.cpp
@@ -138,6 +138,7 @@
         body_source body;
         response received;
         bool too_large = false;
+        bool ended = false;
         std::int32_t stream_id = 0;
         timer timeout;
         result_handler on_result;
@@ -210,6 +211,14 @@
     static int on_frame(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user_data) {
         if (frame->hd.type == NGHTTP2_GOAWAY) {
             from(user_data).refusing_ = true;
+            return 0;
+        }
+        const bool carries_response = frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
+        if (carries_response && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+            exchange* found = from(user_data).find_stream(frame->hd.stream_id);
+            if (found != nullptr) {
+                found->ended = true;
+            }
         }
         return 0;
     }
@@ -282,7 +291,9 @@
         }
         if (stream_error == NGHTTP2_REFUSED_STREAM) {
             finish(id, std::nullopt, error_code::request_refused);
-        } else if (stream_error != NGHTTP2_NO_ERROR || found->second.received.status == 0) {
+        } else if (stream_error != NGHTTP2_NO_ERROR || !found->second.ended ||
+                   found->second.received.status == 0) {
+            // A stream that is reset before its end may carry NO_ERROR as well.
             finish(id, std::nullopt, error_code::connection_lost);
         } else if (found->second.too_large) {
             finish(id, std::nullopt, error_code::too_large);
--- a/tests/http2/client_server_tests.cpp
+++ b/tests/http2/client_server_tests.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <arpa/inet.h>
 #include <csignal>
 #include <memory>
 #include <netinet/in.h>
@@ -85,6 +86,46 @@
     }
 };
 
+/// Server that sends given bytes as its reply to the first request of a client.
+struct raw_server_fixture {
+    static inline const std::string response_head{"\0\0\x01\x01\x04\0\0\0\x01\x88", 10};
+    /// DATA frame without END_STREAM.
+    static inline const std::string part_of_body{"\0\0\x02\0\0\0\0\0\x01{}", 11};
+
+    event_loop loop;
+    std::optional<http2::response> reply;
+    error reason;
+
+    void reply_with(const std::string& frames) {
+        const int listening = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(listening, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        REQUIRE(::listen(listening, 1) == 0);
+        socklen_t length = sizeof address;
+        getsockname(listening, reinterpret_cast<sockaddr*>(&address), &length);
+        http2::client_settings settings;
+        settings.server = endpoint{"127.0.0.1", ntohs(address.sin_port)};
+        http2::client client{loop, settings};
+        bool done = false;
+        client.send(http2::request{"GET", "/", {}}, 2s,
+                    [this, &done](std::optional<http2::response> received, const error& failure) {
+                        done = true;
+                        reply = std::move(received);
+                        reason = failure;
+                    });
+        REQUIRE(loop.run_until([&client] { return client.is_connected(); }, 2s));
+        loop.run_until([] { return false; }, 50ms);
+        const int accepted = ::accept(listening, nullptr, nullptr);
+        const std::string sent = std::string("\0\0\0\x04\0\0\0\0\0", 9) + frames;
+        REQUIRE(::send(accepted, sent.data(), sent.size(), 0) == static_cast<ssize_t>(sent.size()));
+        REQUIRE(loop.run_until([&done] { return done; }, 3s));
+        ::close(accepted);
+        ::close(listening);
+    }
+};
+
 } // namespace
 
 // Guards against answers that reach the wrong request when many share a connection.
@@ -239,3 +280,23 @@
     held.front()(http2::response{200, "nobody"});
     CHECK(held.size() == 1);
 }
+
+// Guards against a response that its sender gave up half-way and that is taken for a whole one, since the
+// stream was reset without an error.
+TEST_CASE("client_response_reset_without_error_before_its_end_is_no_answer") {
+    raw_server_fixture fixture;
+    const std::string reset("\0\0\x04\x03\0\0\0\0\x01\0\0\0\0", 13);
+    fixture.reply_with(raw_server_fixture::response_head + raw_server_fixture::part_of_body + reset);
+    CHECK_FALSE(fixture.reply);
+    CHECK(fixture.reason.code == error_code::connection_lost);
+}
+
+// Guards against the check for the end of a response refusing one that is whole.
+TEST_CASE("client_response_reset_without_error_after_its_end_is_an_answer") {
+    raw_server_fixture fixture;
+    const std::string end("\0\0\0\0\x01\0\0\0\x01", 9);
+    const std::string reset("\0\0\x04\x03\0\0\0\0\x01\0\0\0\0", 13);
+    fixture.reply_with(raw_server_fixture::response_head + raw_server_fixture::part_of_body + end + reset);
+    REQUIRE(fixture.reply);
+    CHECK(fixture.reply->body == "{}");
+}
