Count a request as sent if its refused stream has carried a part of a response

Callers would see: a write reported as certainly not run, or sent again, although the server had begun to answer it.

Cause: REFUSED_STREAM was taken for a proof that the request was not processed, also after the head of a response. HTTP/2 allows it only before any processing. Class: a reader that accepts more than its protocol.

Ruled out: streams above the last one of a GOAWAY, which have no response; they are certain refusals as before.

Change: a refused stream with a response that has begun counts as connection_lost.

Evidence: client_response_refused_after_its_head_counts_as_sent failed before (request_refused) and passes. unit.http2 13 of 13.

--- a/gentianhill/http2/client.cpp
+++ b/gentianhill/http2/client.cpp
@@ -289,10 +289,10 @@
         if (found == exchanges_.end()) {
             return;
         }
-        if (stream_error == NGHTTP2_REFUSED_STREAM) {
+        const bool has_begun = found->second.received.status != 0;
+        if (stream_error == NGHTTP2_REFUSED_STREAM && !has_begun) {
             finish(id, std::nullopt, error_code::request_refused);
-        } else if (stream_error != NGHTTP2_NO_ERROR || !found->second.ended ||
-                   found->second.received.status == 0) {
+        } else if (stream_error != NGHTTP2_NO_ERROR || !found->second.ended || !has_begun) {
             // A stream that is reset before its end may carry NO_ERROR as well.
             finish(id, std::nullopt, error_code::connection_lost);
         } else if (found->second.too_large) {
--- a/tests/http2/client_server_tests.cpp
+++ b/tests/http2/client_server_tests.cpp
@@ -291,6 +291,15 @@
     CHECK(fixture.reason.code == error_code::connection_lost);
 }
 
+// Guards against a request that a server began to answer and that is reported as certainly not processed.
+TEST_CASE("client_response_refused_after_its_head_counts_as_sent") {
+    raw_server_fixture fixture;
+    const std::string refused("\0\0\x04\x03\0\0\0\0\x01\0\0\0\x07", 13);
+    fixture.reply_with(raw_server_fixture::response_head + refused);
+    CHECK_FALSE(fixture.reply);
+    CHECK(fixture.reason.code == error_code::connection_lost);
+}
+
 // Guards against the check for the end of a response refusing one that is whole.
 TEST_CASE("client_response_reset_without_error_after_its_end_is_an_answer") {
     raw_server_fixture fixture;
