Accept an answer of an instance only with all parts that its call has

Callers would see: a read answered as done without rows, a write as done with no changes, or a commit or write that waits for a position of 0 until its deadline, when the answer of the instance lacks results or a position.

Cause: any JSON object with the right request id and no error was a complete answer to any call; results, log position and status were read if present. Class: a reader that accepts more than its protocol.

Ruled out: answers of another request (the id is echoed and checked) and cut answers (no JSON).

Change: answer_parts_of() names the parts of the answer to each call as design.md lists them: as many results as statements and a position for execute, a position for commit, the state for status, fence, promote and follow. Without them the failure is bad_answer, the request counts as sent and the connection is closed, as after every answer that cannot be read.

The answer that the tests called complete had no result for its statement; it has one now, and the cases check the same.

--- a/gentianhill/backend/backend_connection.cpp
+++ b/gentianhill/backend/backend_connection.cpp
@@ -38,11 +38,12 @@
     const std::string request_id = identity_.next_request_id();
     body["request_id"] = request_id;
     body["source"] = identity_.source;
+    const answer_parts required = answer_parts_of(path, body);
     http2::request message{"POST", std::string{path},
                            body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
     const time_point sent_at = event_loop::now();
     client_.send(std::move(message), timeout,
-                 [this, request_id, sent_at, on_answer = std::move(on_answer)](
+                 [this, request_id, required, sent_at, on_answer = std::move(on_answer)](
                      std::optional<http2::response> reply, const error& transport_error) {
                      backend_failure failure;
                      if (!reply) {
@@ -51,8 +52,9 @@
                          on_answer(std::nullopt, failure);
                          return;
                      }
-                     std::optional<database_answer> answer = parse_database_answer(
-                         reply->status, reply->body, request_id, sent_at, event_loop::now(), failure);
+                     std::optional<database_answer> answer =
+                         parse_database_answer(reply->status, reply->body, request_id, required, sent_at,
+                                               event_loop::now(), failure);
                      if (!answer && failure.progress != request_progress::answered) {
                          broken_ = true;
                      }
--- a/gentianhill/backend/database_message.cpp
+++ b/gentianhill/backend/database_message.cpp
@@ -2,6 +2,9 @@
 
 #include "gentianhill/core/object_reader.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace gentianhill {
@@ -12,8 +15,41 @@
 constexpr int http_ok = 200;
 constexpr std::int64_t max_integer = INT64_MAX;
 
+bool has_results(const nlohmann::json& results, std::size_t count) {
+    return results.size() == count &&
+           std::all_of(results.begin(), results.end(),
+                       [](const nlohmann::json& result) { return result.is_object(); });
+}
+
+/// First part that the answer lacks; no failure if it is complete.
+error missing_part(const nlohmann::json& body, const database_answer& answer, const answer_parts& required) {
+    if (required.results && !has_results(answer.results, *required.results)) {
+        return error{error_code::bad_answer, "results", fmt::format("{} results", answer.results.size()),
+                     fmt::format("{} objects, one for each statement", *required.results)};
+    }
+    if (required.position && !body.contains("log_term")) {
+        return error{error_code::bad_answer, "log_term", "", "the log position of the data"};
+    }
+    if (required.report && !answer.report) {
+        return error{error_code::bad_answer, "status", "", "the state of the instance"};
+    }
+    return error{};
+}
+
 } // namespace
 
+answer_parts answer_parts_of(std::string_view path, const nlohmann::json& body) {
+    answer_parts required;
+    if (path == "/v1/execute") {
+        const nlohmann::json::const_iterator statements = body.find("statements");
+        required.results = statements == body.end() ? 0 : statements->size();
+    }
+    required.position = path == "/v1/execute" || path == "/v1/commit";
+    required.report =
+        path == "/v1/status" || path == "/v1/fence" || path == "/v1/promote" || path == "/v1/follow";
+    return required;
+}
+
 nlohmann::json execute_request::to_json() const {
     nlohmann::json list = nlohmann::json::array();
     for (const sql_statement& statement : statements) {
@@ -51,7 +87,8 @@
 }
 
 std::optional<database_answer> parse_database_answer(int http_status, std::string_view body,
-                                                     std::string_view request_id, time_point sent_at,
+                                                     std::string_view request_id,
+                                                     const answer_parts& required, time_point sent_at,
                                                      time_point received_at, backend_failure& failure) {
     // Until the answer is known to belong to the request, the request may have run.
     failure.progress = request_progress::sent;
@@ -101,7 +138,8 @@
     if (!reader.ok()) {
         return std::nullopt;
     }
-    return answer;
+    failure.reason = missing_part(*parsed, answer, required);
+    return failure.reason.failed() ? std::nullopt : std::optional{std::move(answer)};
 }
 
 } // namespace gentianhill
--- a/gentianhill/backend/database_message.h
+++ b/gentianhill/backend/database_message.h
@@ -54,16 +54,30 @@
     std::optional<instance_report> report;
 };
 
+/// Parts that a complete answer to a call has.
+struct answer_parts {
+    /// Number of results; nothing for a call without statements.
+    std::optional<std::size_t> results;
+    /// Log position of the data.
+    bool position = false;
+    /// State of the instance.
+    bool report = false;
+};
+
+/// Parts of a complete answer to the call `path` with `body`.
+[[nodiscard]] answer_parts answer_parts_of(std::string_view path, const nlohmann::json& body);
+
 /// Parses the status fields of an instance. Errors: missing_field, bad_type, out_of_range.
 [[nodiscard]] std::optional<instance_report> parse_instance_report(const nlohmann::json& status,
                                                                    time_point sent_at, time_point received_at,
                                                                    error& reason);
 
-/// Parses an answer body and checks that it answers the request `request_id`.
-/// Errors: bad_json, mismatched_answer, missing_field, bad_type, or the error that the instance answered
-/// with. `failure.progress` is `answered` only if the instance itself refused the request.
+/// Parses an answer body and checks that it answers the request `request_id` and has all `required` parts.
+/// Errors: bad_json, mismatched_answer, bad_answer, missing_field, bad_type, or the error that the instance
+/// answered with. `failure.progress` is `answered` only if the instance itself refused the request.
 [[nodiscard]] std::optional<database_answer> parse_database_answer(int http_status, std::string_view body,
                                                                    std::string_view request_id,
+                                                                   const answer_parts& required,
                                                                    time_point sent_at, time_point received_at,
                                                                    backend_failure& failure);
 
--- a/tests/backend/backend_connection_tests.cpp
+++ b/tests/backend/backend_connection_tests.cpp
@@ -44,8 +44,12 @@
     };
 
     outcome call() {
+        return call("/v1/execute", execute_request{1, {{"SELECT 1", {}}}, true, false}.to_json());
+    }
+
+    outcome call(const std::string& path, const nlohmann::json& body) {
         const std::shared_ptr<outcome> result = std::make_shared<outcome>();
-        connection->call("/v1/execute", execute_request{1, {{"SELECT 1", {}}}, true, false}.to_json(), 1s,
+        connection->call(path, body, 1s,
                          [result](std::optional<database_answer> answer, const backend_failure& failure) {
                              result->done = true;
                              result->answer = std::move(answer);
@@ -56,10 +60,8 @@
     }
 
     static nlohmann::json complete_answer(const nlohmann::json& request_id) {
-        return nlohmann::json{{"request_id", request_id},
-                              {"results", nlohmann::json::array()},
-                              {"log_term", 3},
-                              {"position", 17}};
+        return nlohmann::json{
+            {"request_id", request_id}, {"results", {{{"rows", {{1}}}}}}, {"log_term", 3}, {"position", 17}};
     }
 };
 
@@ -124,6 +126,59 @@
     CHECK(result.answer->data_position == log_position{3, 17});
 }
 
+// A write or read must not be reported as done on an answer that lacks results or the position of its data.
+TEST_CASE_FIXTURE(scripted_instance_fixture,
+                  "backend_connection_execute_answer_not_whole_fails_and_counts_as_sent") {
+    nlohmann::json changed;
+    SUBCASE("no_results") {
+        changed = {{"results", nullptr}};
+    }
+    SUBCASE("results_of_no_statement") {
+        changed = {{"results", nlohmann::json::array()}};
+    }
+    SUBCASE("results_of_other_statements") {
+        changed = {{"results", {{{"changes", 1}}, {{"changes", 1}}}}};
+    }
+    SUBCASE("result_is_no_object") {
+        changed = {{"results", {7}}};
+    }
+    SUBCASE("no_log_term") {
+        changed = {{"log_term", nullptr}};
+    }
+    SUBCASE("no_position") {
+        changed = {{"position", nullptr}};
+    }
+    script = [changed](const nlohmann::json& request) {
+        nlohmann::json body = complete_answer(request["request_id"]);
+        // Removes the members that are null in the patch.
+        body.merge_patch(changed);
+        return http2::response{200, body.dump()};
+    };
+    const outcome result = call();
+    CHECK_FALSE(result.answer);
+    CHECK(result.failure.reason.failed());
+    CHECK(result.failure.progress == request_progress::sent);
+    CHECK_FALSE(connection->is_usable());
+}
+
+// A commit whose answer has no position cannot be confirmed.
+TEST_CASE_FIXTURE(scripted_instance_fixture, "backend_connection_commit_answer_without_position_fails") {
+    script = [](const nlohmann::json& request) {
+        return http2::response{200, nlohmann::json{{"request_id", request["request_id"]}}.dump()};
+    };
+    const outcome result = call("/v1/commit", nlohmann::json{{"term", 3}});
+    CHECK_FALSE(result.answer);
+    CHECK(result.failure.progress == request_progress::sent);
+}
+
+// A promotion that no instance reports must not count as made.
+TEST_CASE_FIXTURE(scripted_instance_fixture, "backend_connection_promote_answer_without_status_fails") {
+    script = [](const nlohmann::json& request) {
+        return http2::response{200, nlohmann::json{{"request_id", request["request_id"]}}.dump()};
+    };
+    CHECK_FALSE(call("/v1/promote", nlohmann::json{{"term", 3}}).answer);
+}
+
 // Different requests must have different digests, also when text moves between SQL and parameters.
 TEST_CASE("statements_digest_of_different_statements_differs") {
     const std::string original = statements_digest({{"INSERT INTO builds VALUES (?)", {"a"}}});
