Take an answer of an instance only if it names the instance asked

Callers would see: after an address is given to another instance, a promotion that lacks a majority (a promise lost), or a primary that counts as alive because another server answers at its address.

Cause: only the first call of a statement connection compared the name in the status. The control connection, which carries status, fence, promote and follow, never did: the promotion credits the answer to the instance it asked, so one instance at two addresses could accept one fence as two. Class: a reply matched by the connection on which it came, without a check that it can belong to the request.

Ruled out: answers of an earlier run or of another request (the request id holds daemon, incarnation and a number, and is checked).

Change: a connection knows the instance it is for. An answer whose status names another one is a mismatched_answer, counts as sent and closes the connection, for all calls on all connections; the check at opening is part of it. The log line has field, found and expected name.

Remains: a refusal carries no checked name. A foreign one can end an attempt as superseded or refuse a statement, which did not run there; no promise hangs on it.

Evidence: backend_connection_answer_of_another_instance_fails failed before for both places of the status and passes. unit.backend 11 of 11.

--- a/gentianhill/backend/backend_connection.cpp
+++ b/gentianhill/backend/backend_connection.cpp
@@ -16,6 +16,19 @@
     return certainly_not_processed(code) ? request_progress::not_sent : request_progress::sent;
 }
 
+/// Removes an answer that the report in it shows to come from another instance.
+void check_instance(const std::string& expected, std::optional<database_answer>& answer,
+                    backend_failure& failure) {
+    if (!answer || !answer->report || answer->report->instance == expected) {
+        return;
+    }
+    // The other instance may have processed the request.
+    failure = backend_failure{
+        error{error_code::mismatched_answer, "status.instance", answer->report->instance, expected},
+        request_progress::sent};
+    answer.reset();
+}
+
 } // namespace
 
 backend_connection::backend_connection(event_loop& loop, const endpoint& server, backend_identity identity)
@@ -55,6 +68,7 @@
                      std::optional<database_answer> answer =
                          parse_database_answer(reply->status, reply->body, request_id, required, sent_at,
                                                event_loop::now(), failure);
+                     check_instance(identity_.instance, answer, failure);
                      if (!answer && failure.progress != request_progress::answered) {
                          broken_ = true;
                      }
--- a/gentianhill/backend/backend_connection.h
+++ b/gentianhill/backend/backend_connection.h
@@ -12,13 +12,15 @@
 
 namespace gentianhill {
 
-/// Identifies this daemon and its requests to instances; shared by all connections to instances.
+/// Identifies this daemon and its requests to instances, and the instance that they are for.
 struct backend_identity {
     /// This run of this daemon, "daemon/incarnation", sent as `source` with each request: an instance takes a
     /// fence with the same term and source for a repeat.
     std::string source;
     /// Returns a request id that is unique across all incarnations of this daemon.
     std::function<std::string()> next_request_id;
+    /// Name of the instance that the connection is for; an answer that names another one is none.
+    std::string instance;
 };
 
 /// HTTP/2 connection to one instance. Answers are matched to requests by id. After an exchange that did not
--- a/gentianhill/daemon/instance_gateway.cpp
+++ b/gentianhill/daemon/instance_gateway.cpp
@@ -13,9 +13,9 @@
 
 using connection_entry = std::pair<const connection_pool::connection_id, std::shared_ptr<backend_connection>>;
 
-backend_identity identity_of(daemon_context& context) {
+backend_identity identity_of(daemon_context& context, const instance_configuration& instance) {
     return backend_identity{fmt::format("{}/{}", context.settings.name, context.incarnation),
-                            [&context] { return context.next_request_id(); }};
+                            [&context] { return context.next_request_id(); }, instance.name};
 }
 
 /// This daemon's part of the instance's connections, without the control connection.
@@ -152,8 +152,8 @@
 }
 
 void instance_gateway::open(connection_pool::connection_id id) {
-    const std::shared_ptr<backend_connection> created =
-        std::make_shared<backend_connection>(context_.loop, configuration_.address, identity_of(context_));
+    const std::shared_ptr<backend_connection> created = std::make_shared<backend_connection>(
+        context_.loop, configuration_.address, identity_of(context_, configuration_));
     connections_.emplace(id, created);
     const std::weak_ptr<bool> alive = alive_;
     hooks_.on_sent();
@@ -172,12 +172,7 @@
                                  const backend_failure& failure) {
     const time_point now = event_loop::now();
     note_answer(answer, failure);
-    const bool is_expected = answer && answer->report && answer->report->instance == configuration_.name;
-    if (!is_expected) {
-        if (answer && answer->report) {
-            context_.log.write(log_level::error, "backend", "wrong_instance",
-                               {{"expected", configuration_.name}, {"found", answer->report->instance}});
-        }
+    if (!answer) {
         pool_.mark_open_failed(id, now, context_.random());
         drop(id);
         return;
@@ -235,8 +230,11 @@
     }
     if (failure.reason.code == error_code::mismatched_answer) {
         context_.record(event_kind::answer_mismatched, {}, {{"instance", configuration_.name}});
-        context_.log.write(log_level::warning, "backend", "answer_mismatched",
-                           {{"instance", configuration_.name}, {"found", failure.reason.value}});
+        context_.log.write(log_level::error, "backend", "answer_mismatched",
+                           {{"instance", configuration_.name},
+                            {"field", failure.reason.field},
+                            {"found", failure.reason.value},
+                            {"expected", failure.reason.allowed}});
     }
 }
 
@@ -251,8 +249,8 @@
         context_.loop.run_after(duration{0}, [replaced] { replaced->close(); });
     }
     control_not_before_ = now + control_reconnect_delay;
-    control_ =
-        std::make_shared<backend_connection>(context_.loop, configuration_.address, identity_of(context_));
+    control_ = std::make_shared<backend_connection>(context_.loop, configuration_.address,
+                                                    identity_of(context_, configuration_));
 }
 
 void instance_gateway::control(std::string_view path, nlohmann::json body, duration timeout,
--- a/tests/backend/backend_connection_tests.cpp
+++ b/tests/backend/backend_connection_tests.cpp
@@ -34,7 +34,8 @@
         REQUIRE(server->listen(reason));
         connection = std::make_unique<backend_connection>(
             loop, endpoint{"127.0.0.1", server->port()},
-            backend_identity{"kyushu-a-1/1", [this] { return "kyushu-a-1/" + std::to_string(next_id++); }});
+            backend_identity{"kyushu-a-1/1", [this] { return "kyushu-a-1/" + std::to_string(next_id++); },
+                             "db-1"});
     }
 
     struct outcome {
@@ -171,6 +172,39 @@
     CHECK(result.failure.progress == request_progress::sent);
 }
 
+// Guards against a fence or status that counts for one instance while another one, at the same address, has
+// answered it.
+TEST_CASE_FIXTURE(scripted_instance_fixture, "backend_connection_answer_of_another_instance_fails") {
+    std::string found = "db-2";
+    bool is_nested = true;
+    SUBCASE("expected_one") {
+        found = "db-1";
+    }
+    SUBCASE("other_in_status") {
+        is_nested = true;
+    }
+    SUBCASE("other_in_answer_itself") {
+        is_nested = false;
+    }
+    script = [found, is_nested](const nlohmann::json& request) {
+        nlohmann::json body{{"instance", found}, {"accepted_term", 3}, {"log_term", 2},     {"position", 17},
+                            {"term_start", 1},   {"role", "replica"},  {"primary", nullptr}};
+        if (is_nested) {
+            body = nlohmann::json{{"status", body}};
+        }
+        body["request_id"] = request["request_id"];
+        return http2::response{200, body.dump()};
+    };
+    const outcome result = call("/v1/fence", nlohmann::json{{"term", 3}});
+    const bool is_expected = found == "db-1";
+    CHECK(result.answer.has_value() == is_expected);
+    CHECK(connection->is_usable() == is_expected);
+    if (!is_expected) {
+        CHECK(result.failure.reason.code == error_code::mismatched_answer);
+        CHECK(result.failure.progress == request_progress::sent);
+    }
+}
+
 // A promotion that no instance reports must not count as made.
 TEST_CASE_FIXTURE(scripted_instance_fixture, "backend_connection_promote_answer_without_status_fails") {
     script = [](const nlohmann::json& request) {
