Count a request as sent if the instance's error leaves its outcome open

Callers would see: a commit reported as not run although it took effect, when the instance answers with an error such as outcome_unknown, timed_out or deadline_exceeded.

Cause: any error object with a code in the table proved that the request did not run. The retry policy knows codes that leave the outcome open, but the commit of a transaction goes by the progress alone; `none` was even a failure without a reason. Class: a reader that accepts more than its protocol.

Ruled out: codes that are not in the table (unexpected, counted as sent before and now).

Change: such a code counts as sent when the answer is parsed, so a commit is resolved by its key or reported as unknown. Refusals as before.

--- a/gentianhill/backend/database_message.cpp
+++ b/gentianhill/backend/database_message.cpp
@@ -15,6 +15,23 @@
 constexpr int http_ok = 200;
 constexpr std::int64_t max_integer = INT64_MAX;
 
+/// True for codes with which an instance cannot state that it did not run the request.
+bool leaves_outcome_open(error_code code) {
+    switch (code) {
+    case error_code::none:
+    case error_code::unexpected:
+    case error_code::connection_lost:
+    case error_code::timed_out:
+    case error_code::bad_answer:
+    case error_code::mismatched_answer:
+    case error_code::deadline_exceeded:
+    case error_code::outcome_unknown:
+        return true;
+    default:
+        return false;
+    }
+}
+
 bool has_results(const nlohmann::json& results, std::size_t count) {
     return results.size() == count &&
            std::all_of(results.begin(), results.end(),
@@ -110,7 +127,10 @@
     if (http_status != http_ok || error_field.is_object()) {
         failure.reason = error_from_json(error_field);
         // Only a well-formed refusal proves that the request did not run.
-        const bool is_refusal = error_field.is_object() && failure.reason.code != error_code::unexpected;
+        const bool is_refusal = error_field.is_object() && !leaves_outcome_open(failure.reason.code);
+        if (!failure.reason.failed()) {
+            failure.reason.code = error_code::bad_answer;
+        }
         failure.progress = is_refusal ? request_progress::answered : request_progress::sent;
         return std::nullopt;
     }
--- a/tests/backend/backend_connection_tests.cpp
+++ b/tests/backend/backend_connection_tests.cpp
@@ -103,6 +103,39 @@
     CHECK_FALSE(connection->is_usable());
 }
 
+// Guards against a commit reported as not run when the instance itself does not know whether it ran.
+TEST_CASE_FIXTURE(scripted_instance_fixture, "backend_connection_error_of_unknown_outcome_counts_as_sent") {
+    error_code code = error_code::none;
+    SUBCASE("none") {
+        code = error_code::none;
+    }
+    SUBCASE("outcome_unknown") {
+        code = error_code::outcome_unknown;
+    }
+    SUBCASE("timed_out") {
+        code = error_code::timed_out;
+    }
+    SUBCASE("connection_lost") {
+        code = error_code::connection_lost;
+    }
+    SUBCASE("deadline_exceeded") {
+        code = error_code::deadline_exceeded;
+    }
+    SUBCASE("bad_answer") {
+        code = error_code::bad_answer;
+    }
+    script = [code](const nlohmann::json& request) {
+        return http2::response{500, nlohmann::json{{"request_id", request["request_id"]},
+                                                   {"error", to_json(error{code, "", "", ""})}}
+                                        .dump()};
+    };
+    const outcome result = call("/v1/commit", nlohmann::json{{"term", 3}});
+    CHECK_FALSE(result.answer);
+    CHECK(result.failure.reason.failed());
+    CHECK(result.failure.progress == request_progress::sent);
+    CHECK_FALSE(connection->is_usable());
+}
+
 // A refused statement must not make the connection unusable.
 TEST_CASE_FIXTURE(scripted_instance_fixture, "backend_connection_typed_refusal_counts_as_answered") {
     script = [](const nlohmann::json& request) {
