--- a/tests/platform/instance_line_link_tests.cpp
+++ b/tests/platform/instance_line_link_tests.cpp
@@ -191,6 +191,14 @@
     CHECK(answers.empty());
 }
 
+// Guards against a connection that is reported as rejected after it was reported as ended.
+TEST_CASE_FIXTURE(link_fixture, "instance_line_link_two_outcomes_before_ready_of_startup_end_once") {
+    instance.send("COMPLETE 1.a\r\nERROR MISROUTED other\r\nREADY I 3.7\r\n");
+    CHECK(ends_with(disconnect_reason::out_of_step));
+    CHECK(opened.empty());
+    CHECK(answers.empty());
+}
+
 // Guards against a rejected startup that is reported as an open connection.
 TEST_CASE_FIXTURE(link_fixture, "instance_line_link_error_before_ready_of_startup_reports_the_rejection") {
     instance.send("ERROR MISROUTED other\r\nREADY I 3.7\r\n");
