--- a/tests/http2/client_server_tests.cpp
+++ b/tests/http2/client_server_tests.cpp
@@ -243,6 +243,36 @@
     CHECK(loop.run_until([this] { return server->is_shut_down(); }, 2s));
 }
 
+// Guards against a path whose bytes would end a line or a text where it is used.
+TEST_CASE_FIXTURE(loopback_fixture, "server_path_with_control_byte_is_not_delivered") {
+    std::string path = "/hold";
+    std::size_t delivered = 0;
+    SUBCASE("none") {
+        delivered = 1;
+    }
+    SUBCASE("carriage_return") {
+        path[2] = '\r';
+    }
+    SUBCASE("line_feed") {
+        path[2] = '\n';
+    }
+    SUBCASE("nul") {
+        path[2] = '\0';
+    }
+    std::vector<std::string> paths;
+    server->on_request = [&paths](http2::connection_id, const http2::request& request,
+                                  const http2::server::responder&) { paths.push_back(request.path); };
+    const int socket = connect_raw();
+    // Preface, SETTINGS, and HEADERS of stream 1 (GET http, authority x, the path) with END_STREAM.
+    std::string sent = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    sent += std::string("\0\0\0\x04\0\0\0\0\0", 9);
+    sent += std::string("\0\0\x0c\x01\x05\0\0\0\x01\x82\x86\x41\x01x\x44\x05", 16) + path;
+    REQUIRE(::send(socket, sent.data(), sent.size(), 0) == static_cast<ssize_t>(sent.size()));
+    loop.run_until([] { return false; }, 100ms);
+    CHECK(paths.size() == delivered);
+    ::close(socket);
+}
+
 // Guards against a caller whose connection the system has accepted, but not the server, when it stops to
 // listen: its request would be cut off.
 TEST_CASE_FIXTURE(loopback_fixture, "server_stop_accepting_answers_connections_in_the_backlog") {
