Refuse a statement that is too long once forwarded, and bound shared names

What callers saw, in a deployment of the model whose instances end a connection at a message of more than 1 MiB: a read at the limit, which gets its position as a prefix, lost 8 connections and was answered BUSY. A statement prepared with a shape of 400000 bytes other than letters and digits, whose shared name takes three bytes for each, did the same, as did a PREPARE at the limit. An EXECUTE at the limit was not answered within 100 ms. Each lost connection also counts as a failure of the instance. Cause: the length of a command was not checked, and a shared name was as long as the escaped shape. Ruled out: a table of long shapes in the process, which would have to be bounded; a read at the limit served without its position, which could be stale. The session answers TOOLARGE to a PREPARE or EXECUTE that is not, at once; a statement task does so to a read that is too long with its position, and returns the connection. The same read is served in a transaction, where BEGIN carries the position.

--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -14,6 +14,7 @@
 /// Delay before a statement of a transaction is retried at an instance that answered busy.
 constexpr duration busy_backoff = 12ms;
 constexpr std::uint32_t max_pinned_attempts = 8;
+constexpr std::string_view too_large_detail = "too long under the name that sessions share";
 constexpr std::string_view stopping_detail = "the daemon is stopping";
 constexpr std::string_view timeout_detail = "timeout of the route reached";
 
@@ -147,6 +148,10 @@
         values_.set_value(next.name, next.argument);
         break;
     case statement_kind::prepare:
+        if (!fits_message(next)) {
+            answer_failure(statement_outcome::too_large, too_large_detail);
+            return;
+        }
         if (!values_.prepare(next.name, {next.argument, next.writes})) {
             answer_failure(statement_outcome::too_large, "too many prepared statements");
             return;
@@ -231,6 +236,10 @@
         answer_failure(statement_outcome::read_only, "the transaction only reads");
         return;
     }
+    if (!fits_message(next)) {
+        answer_failure(statement_outcome::too_large, too_large_detail);
+        return;
+    }
     if (transaction_ && transaction_->connection != nullptr) {
         run_pinned(next);
     } else {
@@ -238,6 +247,21 @@
     }
 }
 
+bool client_session::fits_message(const statement& next) const {
+    if (next.kind == statement_kind::prepare) {
+        const std::string shared_name = shared_statement_name({next.argument, next.writes});
+        instance_command command;
+        command.kind = command_kind::prepare;
+        command.name = shared_name;
+        command.argument = next.argument;
+        command.writes = next.writes;
+        return environment_.fits(command);
+    }
+    const std::string shared_name =
+        required_statement() != nullptr ? shared_statement_name(*required_statement()) : std::string{};
+    return environment_.fits(make_statement_command(next, shared_name));
+}
+
 statement_task::request client_session::make_request(const statement& next) const {
     statement_task::request request;
     request.client_statement = next;
@@ -246,6 +270,7 @@
     request.received_at = received_at_;
     request.session_position = position_;
     request.fresh_after = fresh_after_;
+    request.fits = environment_.fits;
     if (transaction_) {
         request.selected_route = transaction_->selected_route;
         request.begin_id = transaction_->begin_id;
--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -27,6 +27,8 @@
     std::function<duration()> transaction_idle_limit;
     /// Returns false once a daemon that stops runs no further statements.
     std::function<bool()> accepts_statements;
+    /// True if a command is short enough to be sent to an instance.
+    std::function<bool(const instance_command& command)> fits;
     std::function<time_point()> now;
 };
 
@@ -88,6 +90,8 @@
     void run_begin(const statement& next);
     void run_rollback();
     void run_remote(const statement& next);
+    /// True if the statement can be sent to an instance under its shared name.
+    [[nodiscard]] bool fits_message(const statement& next) const;
     void run_unpinned(const statement& next);
     void run_pinned(const statement& next);
     void send_pinned(const statement& next);
--- a/gentianhill/proxy/instance_link.h
+++ b/gentianhill/proxy/instance_link.h
@@ -114,6 +114,8 @@
     std::function<std::unique_ptr<instance_link>(const endpoint& address, const std::string& group,
                                                  const std::string& id)>
         open;
+    /// True if a command is short enough to be sent. Without this hook all commands are.
+    std::function<bool(const instance_command& command)> fits;
 };
 
 } // namespace gentianhill
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -219,6 +219,9 @@
     environment_.transaction_idle_limit = [this] {
         return routes_.current() ? routes_.current()->transaction_idle_limit : duration(0);
     };
+    environment_.fits = [this](const instance_command& command) {
+        return !ports_.network.fits || ports_.network.fits(command);
+    };
     environment_.accepts_statements = [this] { return stop_.accepts_statements(); };
     environment_.now = ports_.now;
 }
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -28,6 +28,7 @@
 /// route's timeout.
 constexpr double queue_share = 0.8;
 constexpr double microseconds_per_ms = 1000.0;
+constexpr std::string_view too_large_detail = "too long with the position that the read needs";
 constexpr std::string_view stopping_detail = "the daemon is stopping";
 
 duration share_of(duration length, double share) {
@@ -147,7 +148,6 @@
 }
 
 void statement_task::send_statement(const attempt_pointer& current) {
-    current->statement_sent = true;
     const std::string shared_name =
         required_statement() != nullptr ? shared_statement_name(*required_statement()) : std::string{};
     instance_command command = make_statement_command(request_.client_statement, shared_name);
@@ -155,10 +155,23 @@
         command.min_position = current->min_position;
         command.changes_data = request_.writes;
     }
+    if (!request_.fits(command)) {
+        refuse_too_large(current);
+        return;
+    }
+    current->statement_sent = true;
     current->connection->send(command,
                               [this, current](instance_answer& answer) { on_result(current, answer); });
 }
 
+void statement_task::refuse_too_large(const attempt_pointer& current) {
+    const std::shared_ptr<statement_task> keep = self_;
+    return_connection(current);
+    if (!finished_ && attempts_.empty()) {
+        refuse(statement_outcome::too_large, too_large_detail);
+    }
+}
+
 void statement_task::on_result(const attempt_pointer& current, instance_answer& answer) {
     const std::shared_ptr<statement_task> keep = self_;
     if (finished_) {
--- a/gentianhill/proxy/statement_task.h
+++ b/gentianhill/proxy/statement_task.h
@@ -43,6 +43,8 @@
         std::optional<log_position> session_position;
         /// A read must be at least as fresh as this time, regardless of the route.
         time_point fresh_after;
+        /// True if a command is short enough to be sent.
+        std::function<bool(const instance_command& command)> fits;
     };
 
     statement_task(database_group& group, request parameters, result_handler done);
@@ -82,6 +84,9 @@
     void set_up(const attempt_pointer& current);
     void begin(const attempt_pointer& current);
     void send_statement(const attempt_pointer& current);
+    /// Ends an attempt whose statement is too long with its position, and the task unless another attempt
+    /// runs.
+    void refuse_too_large(const attempt_pointer& current);
     void on_result(const attempt_pointer& current, instance_answer& answer);
     /// Answers an acknowledged write once its instance is confirmed to have been the primary at that time.
     void confirm(const attempt_pointer& current, statement_result result);
--- a/gentianhill/session/session_state.h
+++ b/gentianhill/session/session_state.h
@@ -18,7 +18,7 @@
 };
 
 /// Returns the name under which all sessions share a prepared statement on an instance connection. Equal
-/// statements have equal names. The name consists of letters, digits and underscores.
+/// statements have equal names. The name consists of at most 67 letters, digits and underscores.
 [[nodiscard]] std::string shared_statement_name(const prepared_statement& prepared);
 
 /// Session values and prepared statements of a client session.
--- a/tests/platform/line_codec_tests.cpp
+++ b/tests/platform/line_codec_tests.cpp
@@ -147,3 +147,29 @@
     prepare.argument = "q\n2";
     CHECK(encode(prepare) == "QUERY - PREPARE rq READ q\n2\r\n");
 }
+
+// Guards against a limit that differs from the length of the line that is sent.
+TEST_CASE("line_codec_fits_message_up_to_the_maximum_length_of_the_line") {
+    const std::string id = "5c0e";
+    const std::string name = "name";
+    for (const command_kind kind : {command_kind::read, command_kind::write, command_kind::commit,
+                                    command_kind::execute, command_kind::set_value, command_kind::prepare}) {
+        const bool has_text =
+            kind == command_kind::read || kind == command_kind::write || kind == command_kind::commit;
+        instance_command command;
+        command.kind = kind;
+        command.id = id;
+        command.name = has_text ? std::string_view{} : std::string_view(name);
+        command.min_position = log_position{3, 1207};
+        const std::string text(max_message_bytes + 2 - encode(command).size(), 'x');
+        std::string_view& longest = has_text ? command.text : command.argument;
+        longest = text;
+        CHECK(encode(command).size() == max_message_bytes + 2);
+        CHECK(fits_message(command));
+        const std::string too_long = text + "x";
+        longest = too_long;
+        CHECK(!fits_message(command));
+        longest = "x";
+        CHECK(fits_message(command));
+    }
+}
--- a/tests/proxy/session_tests.cpp
+++ b/tests/proxy/session_tests.cpp
@@ -12,6 +12,17 @@
 struct session_fixture {
     simulated_deployment deployment{1};
     std::unique_ptr<simulated_client> client = deployment.connect(0, "own");
+
+    /// Number of bytes of a statement's text with which the client's next message has the maximum length.
+    [[nodiscard]] std::size_t longest_text() const {
+        return message_limit - ("QUERY " + client->next_id() + " ").size();
+    }
+    /// Makes a statement's text or a field as long as given, of a start that is repeated.
+    [[nodiscard]] static std::string padded(std::string start, std::size_t length) {
+        const char fill = start.back();
+        start.resize(length, fill);
+        return start;
+    }
 };
 
 } // namespace
@@ -210,3 +221,84 @@
     CHECK(client->result(ended)->state == transaction_state::idle);
     CHECK(client->outcome(begin) == statement_outcome::done);
 }
+
+// Guards against a read that the proxy makes too long for a message by the position that it adds: the
+// instance ends the connection, and every retry ends another one.
+TEST_CASE_FIXTURE(session_fixture, "session_read_too_long_with_its_position_is_refused_without_effect") {
+    const std::string read = client->send(padded("READ a", longest_text()));
+    deployment.run_for(100ms);
+    CHECK(client->outcome(read) == statement_outcome::too_large);
+    CHECK(client->result(read)->state == transaction_state::idle);
+    CHECK(deployment.oversized_commands == 0);
+    const std::string next = client->send("READ a");
+    deployment.run_for(100ms);
+    CHECK(client->outcome(next) == statement_outcome::done);
+}
+
+// Guards against a limit that refuses statements which need not be longer than the client's message.
+TEST_CASE_FIXTURE(session_fixture, "session_statements_of_maximum_length_without_additions_are_served") {
+    const std::string write = client->send(padded("WRITE a x", longest_text()));
+    deployment.run_for(100ms);
+    client->send("BEGIN");
+    const std::string first = client->send(padded("READ a", longest_text()));
+    const std::string second = client->send(padded("READ a", longest_text()));
+    const std::string commit = client->send("COMMIT");
+    deployment.run_for(200ms);
+    CHECK(client->outcome(write) == statement_outcome::done);
+    CHECK(client->outcome(first) == statement_outcome::done);
+    CHECK(client->outcome(second) == statement_outcome::done);
+    CHECK(client->outcome(commit) == statement_outcome::done);
+    CHECK(deployment.oversized_commands == 0);
+}
+
+// Guards against a prepared statement within the limit whose shared name is longer than a message.
+TEST_CASE_FIXTURE(session_fixture, "session_prepared_statement_with_long_shape_of_odd_bytes_is_served") {
+    constexpr std::size_t shape_bytes = 400000;
+    client->prepare("s1", padded("#", shape_bytes), false);
+    client->prepare("s2", padded("#", shape_bytes) + "$", false);
+    const std::string first = client->execute("s1", "item");
+    const std::string second = client->execute("s2", "item");
+    deployment.run_for(200ms);
+    CHECK(client->outcome(first) == statement_outcome::done);
+    CHECK(client->outcome(second) == statement_outcome::done);
+    CHECK(deployment.oversized_commands == 0);
+}
+
+// Guards against a PREPARE that is accepted although no instance can receive it.
+TEST_CASE_FIXTURE(session_fixture, "session_prepare_too_long_with_shared_name_is_refused_at_once") {
+    const std::size_t shape_bytes = longest_text() - std::string("PREPARE s READ ").size();
+    const std::string refused = client->prepare("s", padded("x", shape_bytes), false);
+    CHECK(client->outcome(refused) == statement_outcome::too_large);
+    const std::string unknown = client->execute("s", "item");
+    CHECK(client->outcome(unknown) == statement_outcome::no_statement);
+    deployment.run_for(100ms);
+    CHECK(deployment.oversized_commands == 0);
+}
+
+// Guards against an EXECUTE that is too long under the shared name and ends the connection of its
+// transaction.
+TEST_CASE_FIXTURE(session_fixture, "session_execute_too_long_with_shared_name_is_refused_without_effect") {
+    client->prepare("s", padded("#", 40), true);
+    SUBCASE("outside of a transaction") {}
+    SUBCASE("first statement of a transaction") {
+        client->send("BEGIN");
+    }
+    SUBCASE("later statement of a transaction") {
+        client->send("BEGIN");
+        client->send("WRITE a 1");
+    }
+    deployment.run_for(100ms);
+    const bool is_open = !client->session().is_idle();
+    const std::size_t argument_bytes = longest_text() - std::string("EXECUTE s ").size();
+    const std::string execute = client->execute("s", padded("item x", argument_bytes));
+    REQUIRE(client->result(execute) != nullptr);
+    CHECK(client->outcome(execute) == statement_outcome::too_large);
+    CHECK(client->result(execute)->state == (is_open ? transaction_state::failed : transaction_state::idle));
+    deployment.run_for(100ms);
+    client->send("ROLLBACK");
+    const std::string next = client->execute("s", "item x");
+    deployment.run_for(200ms);
+    CHECK(client->outcome(next) == statement_outcome::done);
+    CHECK(deployment.service.acknowledged().size() == 1);
+    CHECK(deployment.oversized_commands == 0);
+}
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -19,6 +19,33 @@
 const std::string group_name = "orders";
 const std::string no_host;
 
+/// Length of the message of a command.
+std::size_t message_bytes(const instance_command& command) {
+    std::string message = "QUERY " + std::string(command.id.empty() ? "-" : command.id) + " ";
+    if (command.min_position) {
+        message += "SINCE " + std::to_string(command.min_position->term) + "." +
+                   std::to_string(command.min_position->position) + " ";
+    }
+    switch (command.kind) {
+    case command_kind::read:
+    case command_kind::write:
+    case command_kind::commit:
+        return message.size() + command.text.size();
+    case command_kind::execute:
+        message += "EXECUTE  ";
+        break;
+    case command_kind::set_value:
+        message += "SET  ";
+        break;
+    case command_kind::prepare:
+        message += command.writes ? "PREPARE  WRITE " : "PREPARE  READ ";
+        break;
+    default:
+        break;
+    }
+    return message.size() + command.name.size() + command.argument.size();
+}
+
 } // namespace
 
 simulated_client::simulated_client(std::unique_ptr<client_session> session, simulated_clock& clock)
@@ -33,9 +60,13 @@
     };
 }
 
+std::string simulated_client::next_id() {
+    return "s" + std::to_string(sent_by_all_ + 1);
+}
+
 std::string simulated_client::submit(statement next) {
-    static std::uint64_t last = 0;
-    next.id = "s" + std::to_string(++last);
+    next.id = next_id();
+    ++sent_by_all_;
     sent_.push_back(next.id);
     order_.push_back(next.id);
     std::string id = next.id;
@@ -64,13 +95,13 @@
     return submit(std::move(next));
 }
 
-void simulated_client::prepare(const std::string& name, const std::string& shape, bool writes) {
+std::string simulated_client::prepare(const std::string& name, const std::string& shape, bool writes) {
     statement next;
     next.kind = statement_kind::prepare;
     next.name = name;
     next.argument = shape;
     next.writes = writes;
-    submit(std::move(next));
+    return submit(std::move(next));
 }
 
 void simulated_client::set(const std::string& name, const std::string& value) {
@@ -96,7 +127,14 @@
 public:
     simulated_link(simulated_deployment& deployment, std::size_t proxy, std::string id)
         : deployment_(deployment), proxy_(proxy), id_(std::move(id)) {
-        send = [this](const instance_command& command) { deliver(standins::model_command(command)); };
+        send = [this](const instance_command& command) {
+            if (message_bytes(command) > message_limit) {
+                ++deployment_.oversized_commands;
+                call_later(2 * network_delay, [this] { on_disconnect(disconnect_reason::lost); });
+                return;
+            }
+            deliver(standins::model_command(command));
+        };
         call_later(2 * network_delay, [this] { connect(); });
         call_later(poll, [this] { watch_instance(); });
     }
@@ -285,6 +323,9 @@
         ++opened_connections;
         return std::make_unique<simulated_link>(*this, index, id);
     };
+    ports.network.fits = [](const instance_command& command) {
+        return message_bytes(command) <= message_limit;
+    };
     ports.store = store.make_port(own_name);
     ports.promote = [this, own_name](const std::string&, const std::string& id, const std::string& holder,
                                      std::uint64_t token,
--- a/tests/proxy/simulated_deployment.h
+++ b/tests/proxy/simulated_deployment.h
@@ -15,6 +15,9 @@
 
 namespace gentianhill {
 
+/// Maximum length of a message between clients, proxies and instances, in bytes.
+constexpr std::size_t message_limit = 1048576;
+
 /// A client with one session, which records its results.
 class simulated_client {
 public:
@@ -26,8 +29,10 @@
     /// Sends a statement under a generated id, which it returns.
     std::string send(const std::string& text);
     std::string execute(const std::string& name, const std::string& argument);
-    void prepare(const std::string& name, const std::string& shape, bool writes);
+    std::string prepare(const std::string& name, const std::string& shape, bool writes);
     void set(const std::string& name, const std::string& value);
+    /// Id of the next statement that any client sends.
+    [[nodiscard]] static std::string next_id();
     /// Result of a statement; null while it is unanswered.
     [[nodiscard]] const statement_result* result(const std::string& id) const;
     /// Outcome of a statement; requires that it is answered.
@@ -42,6 +47,9 @@
 private:
     std::string submit(statement next);
 
+    /// Number of statements of all clients.
+    static inline std::uint64_t sent_by_all_ = 0;
+
     std::unique_ptr<client_session> session_;
     simulated_clock& clock_;
     std::vector<std::string> sent_;
@@ -93,6 +101,8 @@
     /// Number of next answers of the promotion service that are lost.
     int lost_promote_answers = 0;
     std::size_t opened_connections = 0;
+    /// Commands that were longer than a message may be; an instance ends the connection of such a command.
+    std::size_t oversized_commands = 0;
     /// Requests between proxies that were answered, by kind.
     std::map<relay_request_kind, std::size_t> relayed;
     std::vector<std::string> log_lines;
--- a/tests/session/connection_state_tests.cpp
+++ b/tests/session/connection_state_tests.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+#include <string>
+
 using namespace gentianhill;
 
 namespace {
@@ -69,6 +72,34 @@
     CHECK(shared_statement_name({"a_20b", false}) != shared_statement_name({"a b", false}));
 }
 
+// Guards against a name that makes a statement too long for a message, and against long shapes that share a
+// name.
+TEST_CASE("shared_statement_name_of_a_long_shape_is_short_and_differs_for_each_shape_and_mode") {
+    constexpr std::size_t max_name_bytes = 67;
+    constexpr std::size_t max_length = 300;
+    std::set<std::string> names;
+    std::size_t shapes = 0;
+    for (std::size_t length = 1; length <= max_length; ++length) {
+        for (const char fill : {'a', '_', '#', '\n', '\0', '\xff'}) {
+            for (const bool writes : {false, true}) {
+                const std::string name = shared_statement_name({std::string(length, fill), writes});
+                CHECK(name.size() <= max_name_bytes);
+                CHECK(name.find_first_not_of(
+                          "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_") ==
+                      std::string::npos);
+                names.insert(name);
+                ++shapes;
+            }
+        }
+    }
+    CHECK(names.size() == shapes);
+    const std::string shape(100, '#');
+    CHECK(shared_statement_name({shape, true}) == shared_statement_name({shape, true}));
+    // A shape that reads as the name of another one.
+    CHECK(shared_statement_name({shared_statement_name({shape, true}).substr(1), true}) !=
+          shared_statement_name({shape, true}));
+}
+
 // Guards against a client that exhausts memory with prepared statements.
 TEST_CASE("session_state_number_of_prepared_statements_is_bounded") {
     session_state session;
