--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -203,7 +203,8 @@
             });
     }
 
-    void receive(instance_answer answer) {
+    void receive(const instance_answer& received) {
+        instance_answer answer = received;
         answer.is_unsolicited = unanswered_ == 0;
         if (on_answer(answer)) {
             --unanswered_;
