--- a/standins/strict_lines/strict_service.cpp
+++ b/standins/strict_lines/strict_service.cpp
@@ -307,7 +307,7 @@
     instance& at = *from.at;
     std::string rest = text;
     const std::string word = take_word(rest);
-    const answer done{"COMPLETE -\r\n", false};
+    answer done{"COMPLETE -\r\n", false};
     if (word == "BEGIN") {
         return begin(from, id, rest == "READ");
     }
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -191,7 +191,7 @@
         deployment_.clock.call_after(
             network_delay, no_host, [this, alive = std::weak_ptr<bool>(alive_), command, held = connection_] {
                 // A command that was sent arrives even if the sender has been destroyed meanwhile.
-                deployment_.service.handle(held, command, [this, alive](instance_answer answer) {
+                deployment_.service.handle(held, command, [this, alive](const instance_answer& answer) {
                     if (alive.expired() || deployment_.is_cut(proxy_, id_)) {
                         return;
                     }
