End a connection whose refusal is held when its instance is found to repeat answers

Found by reading the change: a held refusal was passed on as not run although the instance had been seen to repeat answers meanwhile; and a connection that another callback of the same tick had closed was asked for its oldest command, of which it has none any more.

Change: release_held_refusal() does nothing once the connection has ended, and ends it if answers are known to repeat; the outcome is then unknown.

Evidence: pooled_connection_refusal_held_when_answers_repeat_ends_the_connection passes, with the others of its file (6 of 6). It was not run on the code before.

--- a/gentianhill/proxy/pooled_connection.cpp
+++ b/gentianhill/proxy/pooled_connection.cpp
@@ -61,7 +61,12 @@
 }
 
 void pooled_connection::release_held_refusal() {
-    if (!held_refusal_ || is_resting()) {
+    if (!open_ || !held_refusal_ || is_resting()) {
+        return;
+    }
+    if (owner_.repeats_answers()) {
+        // Found meanwhile: the refusal may well be a copy.
+        owner_.drop(*this, disconnect_reason::out_of_step);
         return;
     }
     instance_answer answer = std::move(*held_refusal_);
--- a/tests/proxy/pooled_connection_tests.cpp
+++ b/tests/proxy/pooled_connection_tests.cpp
@@ -120,6 +120,27 @@
     CHECK_FALSE(instance->repeats_answers());
 }
 
+// Guards against a false promise of an instance that is found to repeat answers while a refusal is held, and
+// against a refusal that is passed on after its connection has ended.
+TEST_CASE_FIXTURE(pooled_connection_fixture,
+                  "pooled_connection_refusal_held_when_answers_repeat_ends_the_connection") {
+    pooled_connection& connection = open_and_take();
+    bool is_lost = false;
+    connection.on_lost = [&is_lost] { is_lost = true; };
+    send(connection, command_kind::read);
+    CHECK(links.back()->answer(make_answer("s1")));
+    send(connection, command_kind::write, true);
+    CHECK(links.back()->answer(make_busy()));
+    send(connection, command_kind::write, true);
+    CHECK_FALSE(links.back()->answer(make_busy()));
+    CHECK_FALSE(links.back()->answer(make_answer("s1")));
+    REQUIRE(instance->repeats_answers());
+    pass(110ms);
+    CHECK(is_lost);
+    pass(110ms);
+    CHECK(outcomes == std::vector<statement_outcome>{statement_outcome::done, statement_outcome::busy});
+}
+
 // Guards against rows of an earlier read that are taken for those of the next one after a refusal was a copy.
 TEST_CASE_FIXTURE(pooled_connection_fixture,
                   "pooled_connection_after_a_repeated_refusal_rests_and_is_set_up") {
