--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -20,6 +20,10 @@
 constexpr std::string_view too_large_detail = "too long under the name that sessions share";
 constexpr std::string_view stopping_detail = "the daemon is stopping";
 constexpr std::string_view timeout_detail = "timeout of the route reached";
+constexpr std::string_view owner_lost_detail = "the daemon that runs the statements of the group is lost";
+/// Time after a route's timeout by which the owner of a group, which counts it from the receipt, has
+/// answered.
+constexpr duration hand_on_margin = 50ms;
 
 bool guarantees_no_effect(statement_outcome outcome) {
     return outcome >= statement_outcome::busy && outcome <= statement_outcome::denied;
@@ -41,11 +45,38 @@
     }
 }
 
-void client_session::submit(statement next) {
-    queue_.push_back(std::move(next));
+void client_session::submit(statement next, time_point received_at) {
+    queue_.push_back({std::move(next), received_at});
     run_next();
 }
 
+void client_session::adopt(const session_snapshot& snapshot) {
+    position_ = snapshot.position;
+    fresh_after_ = snapshot.fresh_after;
+    if (!snapshot.in_transaction) {
+        return;
+    }
+    open_transaction opened;
+    opened.reads_only = snapshot.reads_only;
+    opened.begin_id = snapshot.begin_id;
+    opened.begun_at = snapshot.begun_at;
+    opened.last_activity = environment_.now();
+    opened.selected_route = snapshot.selected_route;
+    opened.group = environment_.find_group(snapshot.selected_route->group);
+    transaction_ = std::move(opened);
+}
+
+void client_session::adopt_values(const session_state::value_map* values, const std::string& name,
+                                  const prepared_statement* prepared) {
+    if (values != nullptr) {
+        values_.replace_values(*values);
+    }
+    if (prepared != nullptr) {
+        // One name only, so the number of names is no limit.
+        static_cast<void>(values_.prepare(name, *prepared));
+    }
+}
+
 transaction_state client_session::state() const {
     if (!transaction_) {
         return transaction_state::idle;
@@ -61,14 +92,15 @@
     running_ = true;
     const std::weak_ptr<bool> alive = alive_;
     while (!busy_ && !queue_.empty()) {
-        current_ = std::move(queue_.front());
+        current_ = std::move(queue_.front().client_statement);
+        // The time that a statement waits for those before it is not its own.
+        received_at_ = environment_.counts_statements ? environment_.now() : queue_.front().received_at;
         queue_.pop_front();
         busy_ = true;
-        received_at_ = environment_.now();
         pinned_attempts_ = 0;
         busy_since_.reset();
         if (transaction_) {
-            transaction_->last_activity = received_at_;
+            transaction_->last_activity = environment_.now();
         }
         run(current_);
         if (alive.expired()) {
@@ -150,6 +182,7 @@
     switch (next.kind) {
     case statement_kind::set_value:
         values_.set_value(next.name, next.argument);
+        values_changed_ = true;
         break;
     case statement_kind::prepare:
         if (!fits_message(next)) {
@@ -195,6 +228,7 @@
     opened.last_activity = received_at_;
     opened.selected_route = std::move(selected_route);
     opened.group = group;
+    opened.configuration_version = environment_.configuration_version();
     transaction_ = opened;
     answer_done();
 }
@@ -244,9 +278,11 @@
         answer_failure(statement_outcome::too_large, too_large_detail);
         return;
     }
-    if (transaction_ && transaction_->connection != nullptr) {
+    if (transaction_ && transaction_->remote) {
+        hand_on_pinned(next);
+    } else if (transaction_ && transaction_->connection != nullptr) {
         run_pinned(next);
-    } else {
+    } else if (!hand_on(next)) {
         run_unpinned(next);
     }
 }
@@ -317,14 +353,20 @@
 
 void client_session::on_unpinned_result(statement_result& result, pooled_connection* connection) {
     task_.reset();
+    if (apply_unpinned_result(result, connection != nullptr)) {
+        pin(*connection);
+    }
+    result.state = state();
+    answer(std::move(result));
+}
+
+bool client_session::apply_unpinned_result(const statement_result& result, bool stays_open) {
     const bool wrote = writes(current_);
     if (!transaction_) {
         if (result.outcome == statement_outcome::done && wrote) {
             after_commit(result, true);
         }
-        result.state = transaction_state::idle;
-        answer(std::move(result));
-        return;
+        return false;
     }
     if (result.outcome != statement_outcome::done) {
         if (current_.kind == statement_kind::commit) {
@@ -332,20 +374,154 @@
         } else {
             transaction_->failed = true;
         }
-        result.state = state();
-        answer(std::move(result));
+        return false;
+    }
+    if (!stays_open) {
+        transaction_.reset();
+        return false;
+    }
+    transaction_->wrote = wrote;
+    return true;
+}
+
+hand_on_request client_session::make_hand_on_request(const statement& next,
+                                                     std::shared_ptr<const route> selected_route) const {
+    hand_on_request request;
+    request.client_statement = next;
+    if (const prepared_statement* prepared = required_statement()) {
+        request.prepared = *prepared;
+    }
+    request.received_at = received_at_;
+    request.selected_route = std::move(selected_route);
+    return request;
+}
+
+statement_forwarder::handler
+client_session::make_hand_on_handler(void (client_session::*on_outcome)(hand_on_outcome& outcome)) {
+    return [this, on_outcome, number = ++hand_ons_, forwarder = environment_.forwarder,
+            alive = std::weak_ptr<bool>(alive_)](hand_on_outcome outcome) {
+        if (alive.expired() || !handed_on_ || number != hand_ons_) {
+            // The client has gone, or the statement was given up, and with it a transaction that is open now.
+            if (outcome.transaction) {
+                forwarder->end(*outcome.transaction);
+            }
+            return;
+        }
+        handed_on_ = false;
+        (this->*on_outcome)(outcome);
+    };
+}
+
+bool client_session::hand_on(const statement& next) {
+    if (environment_.forwarder == nullptr) {
+        return false;
+    }
+    const std::shared_ptr<const route> selected_route =
+        transaction_ ? transaction_->selected_route : environment_.find_route(database_);
+    if (selected_route == nullptr || !environment_.hands_on(selected_route->group)) {
+        return false;
+    }
+    group_name_ = selected_route->group;
+    handed_on_timeout_ = selected_route->timeout;
+    hand_on_request request = make_hand_on_request(next, selected_route);
+    request.values = values_.values();
+    request.session_position = position_;
+    request.fresh_after = fresh_after_;
+    request.begun_at = received_at_;
+    request.configuration_version = environment_.configuration_version();
+    if (transaction_) {
+        request.configuration_version = transaction_->configuration_version;
+        request.in_transaction = true;
+        request.reads_only = transaction_->reads_only;
+        request.begin_id = transaction_->begin_id;
+        request.begun_at = transaction_->begun_at;
+    }
+    // A transaction without a commit has no effect if its connection ends.
+    const bool may_repeat = transaction_ || !writes(next);
+    values_changed_ = false;
+    handed_on_ = true;
+    handed_on_ = environment_.forwarder->run(std::move(request), may_repeat,
+                                             make_hand_on_handler(&client_session::on_handed_on));
+    return handed_on_;
+}
+
+void client_session::on_handed_on(hand_on_outcome& outcome) {
+    if (outcome.fate == hand_on_fate::lost) {
+        answer_failure(statement_outcome::in_doubt, owner_lost_detail);
         return;
     }
-    if (connection != nullptr) {
-        pin(*connection);
-        transaction_->wrote = wrote;
-    } else {
+    if (outcome.fate == hand_on_fate::not_run) {
+        if (outcome.refusal == hand_on_refusal::overloaded) {
+            answer_failure(transaction_ ? statement_outcome::aborted : statement_outcome::busy,
+                           to_string(outcome.refusal));
+        } else if (!refuse_while_stopping(current_)) {
+            run_unpinned(current_);
+        }
+        return;
+    }
+    if (apply_unpinned_result(outcome.result, outcome.transaction.has_value())) {
+        transaction_->remote = outcome.transaction;
+    }
+    outcome.result.state = state();
+    answer(std::move(outcome.result));
+}
+
+void client_session::hand_on_pinned(const statement& next) {
+    hand_on_request request = make_hand_on_request(next, transaction_->selected_route);
+    if (values_changed_) {
+        request.values = values_.values();
+        values_changed_ = false;
+    }
+    handed_on_ = true;
+    environment_.forwarder->resume(*transaction_->remote, std::move(request),
+                                   make_hand_on_handler(&client_session::on_pinned_handed_on));
+}
+
+void client_session::on_pinned_handed_on(hand_on_outcome& outcome) {
+    const bool commits = current_.kind == statement_kind::commit;
+    const bool unknown = outcome.fate == hand_on_fate::lost && commits && transaction_->wrote;
+    if (outcome.fate != hand_on_fate::answered) {
+        // Whether it was not sent or its owner was lost, the transaction is rolled back.
+        transaction_->remote.reset();
+        transaction_->failed = true;
+        if (commits) {
+            transaction_.reset();
+        }
+        answer_failure(unknown ? statement_outcome::in_doubt : statement_outcome::aborted, owner_lost_detail);
+        return;
+    }
+    statement_result& result = outcome.result;
+    transaction_->remote = outcome.transaction;
+    if (result.outcome == statement_outcome::done && commits) {
+        after_commit(result, transaction_->wrote);
+        transaction_.reset();
+    } else if (result.outcome == statement_outcome::done) {
+        transaction_->wrote = transaction_->wrote || writes(current_);
+    } else if (commits) {
         transaction_.reset();
+    } else {
+        transaction_->failed = true;
     }
     result.state = state();
     answer(std::move(result));
 }
 
+void client_session::give_up_handed_on(std::string_view detail) {
+    handed_on_ = false;
+    const bool commits = current_.kind == statement_kind::commit;
+    if (!transaction_) {
+        answer_failure(writes(current_) ? statement_outcome::in_doubt : statement_outcome::timed_out, detail);
+        return;
+    }
+    const bool unknown = commits && transaction_->wrote;
+    release_pinned();
+    transaction_->failed = true;
+    if (commits) {
+        transaction_.reset();
+    }
+    answer_failure(unknown ? statement_outcome::in_doubt : statement_outcome::aborted, detail);
+}
+
 void client_session::pin(pooled_connection& connection) {
     transaction_->connection = &connection;
     connection.on_lost = [this] { on_pinned_lost(); };
@@ -484,6 +660,11 @@
 }
 
 void client_session::release_pinned() {
+    if (transaction_ && transaction_->remote) {
+        environment_.forwarder->end(*transaction_->remote);
+        transaction_->remote.reset();
+        return;
+    }
     if (!transaction_ || transaction_->connection == nullptr) {
         return;
     }
@@ -511,6 +692,10 @@
 
 void client_session::tick() {
     const time_point now = environment_.now();
+    if (handed_on_ && now >= received_at_ + handed_on_timeout_ + hand_on_margin) {
+        give_up_handed_on(timeout_detail);
+        return;
+    }
     if (!transaction_) {
         return;
     }
@@ -572,6 +757,8 @@
     if (task_) {
         const std::shared_ptr<statement_task> running = task_;
         running->give_up(detail);
+    } else if (handed_on_) {
+        give_up_handed_on(detail);
     } else if (confirming_) {
         give_up_confirming();
     } else if (transaction_ && transaction_->connection != nullptr) {
@@ -604,15 +791,17 @@
 
 void client_session::answer(statement_result result) {
     busy_ = false;
-    counters_.statements.add();
-    counters_.latency.record(environment_.now() - received_at_);
+    if (environment_.counts_statements) {
+        counters_.statements.add();
+        counters_.latency.record(environment_.now() - received_at_);
+    }
     if (transaction_) {
         transaction_->last_activity = environment_.now();
     }
     if (result.outcome != statement_outcome::done) {
-        if (guarantees_no_effect(result.outcome)) {
+        if (environment_.counts_statements && guarantees_no_effect(result.outcome)) {
             counters_.refused.add();
-        } else if (result.outcome == statement_outcome::in_doubt) {
+        } else if (environment_.counts_statements && result.outcome == statement_outcome::in_doubt) {
             counters_.in_doubt.add();
         }
         log_.write(log_level::info, "statement", "refused",
--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -2,6 +2,7 @@
 
 #include "gentianhill/core/logger.h"
 #include "gentianhill/core/time.h"
+#include "gentianhill/ownership/statement_forwarder.h"
 #include "gentianhill/proxy/database_group.h"
 #include "gentianhill/proxy/statement_task.h"
 #include "gentianhill/routing/route_table.h"
@@ -30,6 +31,26 @@
     /// True if a command is short enough to be sent to an instance.
     std::function<bool(const instance_command& command)> fits;
     std::function<time_point()> now;
+    /// Version of the configuration in effect.
+    std::function<std::uint64_t()> configuration_version;
+    /// Hands statements on to the owners of their groups; null when this daemon runs all of its own.
+    statement_forwarder* forwarder = nullptr;
+    /// True if statements of a group are handed on at present.
+    std::function<bool(const std::string& group)> hands_on;
+    /// False for a session of another daemon, which counts its statements itself.
+    bool counts_statements = true;
+};
+
+/// State of a session at another daemon that has handed a statement on.
+struct session_snapshot {
+    std::optional<log_position> position;
+    time_point fresh_after;
+    /// Transaction of the statement, if any.
+    bool in_transaction = false;
+    bool reads_only = false;
+    std::string begin_id;
+    time_point begun_at;
+    std::shared_ptr<const route> selected_route;
 };
 
 /// One client's session. Holds its session values, prepared statements and transaction, and runs its
@@ -47,7 +68,15 @@
     std::function<void(const statement_result& result)> on_answer;
 
     /// Queues a statement; statements run one at a time, in order.
-    void submit(statement next);
+    void submit(statement next) { submit(std::move(next), environment_.now()); }
+    /// Queues a statement that another daemon received at that time.
+    void submit(statement next, time_point received_at);
+    /// Takes over the session of another daemon, before the first statement.
+    void adopt(const session_snapshot& snapshot);
+    /// Takes over the values of the session of another daemon, and the statement that it has prepared under a
+    /// name; null keeps either.
+    void adopt_values(const session_state::value_map* values, const std::string& name,
+                      const prepared_statement* prepared);
     /// Ends a transaction that exceeds the idle limit, and a statement that exceeds its timeout.
     void tick();
     /// Rolls back the open transaction and releases its connection, unless a statement is running. The next
@@ -78,6 +107,14 @@
         /// failure.
         pooled_connection* connection = nullptr;
         database_group* group = nullptr;
+        /// Transaction at the owner of the group, when it was opened there.
+        std::optional<remote_transaction> remote;
+        /// Version of the configuration that `selected_route` is from.
+        std::uint64_t configuration_version = 0;
+    };
+    struct queued_statement {
+        statement client_statement;
+        time_point received_at;
     };
 
     void run_next();
@@ -96,6 +133,20 @@
     void run_pinned(const statement& next);
     void send_pinned(const statement& next);
     void on_unpinned_result(statement_result& result, pooled_connection* connection);
+    /// Ends the running statement of a session without a transaction, or the transaction's first one. Returns
+    /// true if the transaction is open.
+    [[nodiscard]] bool apply_unpinned_result(const statement_result& result, bool stays_open);
+    /// Hands a statement that is not pinned on to the owner of its group; false if it runs here.
+    [[nodiscard]] bool hand_on(const statement& next);
+    /// Hands a statement of a transaction on to where the transaction is open.
+    void hand_on_pinned(const statement& next);
+    [[nodiscard]] hand_on_request make_hand_on_request(const statement& next,
+                                                       std::shared_ptr<const route> selected_route) const;
+    [[nodiscard]] statement_forwarder::handler
+    make_hand_on_handler(void (client_session::*on_outcome)(hand_on_outcome& outcome));
+    void on_handed_on(hand_on_outcome& outcome);
+    void on_pinned_handed_on(hand_on_outcome& outcome);
+    void give_up_handed_on(std::string_view detail);
     void on_pinned_answer(instance_answer& answer);
     void on_pinned_lost();
     void pin(pooled_connection& connection);
@@ -119,7 +170,7 @@
     logger& log_;
     proxy_counters& counters_;
     session_state values_;
-    std::deque<statement> queue_;
+    std::deque<queued_statement> queue_;
     std::optional<open_transaction> transaction_;
     std::shared_ptr<statement_task> task_;
     /// Running statement.
@@ -134,6 +185,13 @@
     /// late confirmation of an earlier one is ignored.
     bool confirming_ = false;
     std::uint64_t commits_ = 0;
+    /// True while the running statement is at the owner of its group. `hand_ons_` identifies it, so that a
+    /// late answer to an earlier one is ignored.
+    bool handed_on_ = false;
+    std::uint64_t hand_ons_ = 0;
+    duration handed_on_timeout_{0};
+    /// Values have changed since the last message about the open transaction.
+    bool values_changed_ = false;
     bool busy_ = false;
     bool running_ = false;
     /// Log position of the session's last acknowledged change.
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -203,6 +203,55 @@
     }
 }
 
+void database_group::set_role(group_role role, std::size_t connections) {
+    const bool was_watching = is_watching();
+    const bool is_new = role != role_;
+    role_ = role;
+    const instance_pool_settings defaults;
+    settings_.pool.idle_timeout = defaults.idle_timeout;
+    settings_.pool.min_idle = defaults.min_idle;
+    settings_.pool.control_idle_timeout = defaults.control_idle_timeout;
+    switch (role) {
+    case group_role::shared:
+        break;
+    case group_role::owner:
+        settings_.pool.max_connections = connections;
+        settings_.pool.idle_timeout = settings_.owner_idle_timeout;
+        break;
+    case group_role::guest:
+        // What this daemon does not use belongs to the owners.
+        settings_.pool.max_connections = connections;
+        settings_.pool.idle_timeout = duration(0);
+        settings_.pool.min_idle = 0;
+        settings_.pool.control_idle_timeout = duration(0);
+        break;
+    }
+    set_limits(limits_, 0);
+    if (is_new && !was_watching && is_watching()) {
+        begin_watching();
+    }
+}
+
+bool database_group::is_watching() const {
+    return role_ != group_role::guest || unservable_since_ ||
+           now() - last_statement_ < settings_.guest_interest;
+}
+
+void database_group::note_statement() {
+    const bool was_watching = is_watching();
+    last_statement_ = now();
+    if (!was_watching) {
+        begin_watching();
+    }
+}
+
+void database_group::begin_watching() {
+    // What was not watched says nothing about the primary.
+    failure_detector_.reset(!primary_id_.empty(), now());
+    last_poll_ = time_point{};
+    poll_instances();
+}
+
 void database_group::begin_era(std::uint64_t era, time_point evidence_from) {
     era_ = era;
     settlement_.unsettle_for_new_era(evidence_from);
@@ -220,6 +269,7 @@
 }
 
 placement database_group::place(const placement_query& query) {
+    note_statement();
     const bool reads_replica =
         (query.access == access_kind::read || query.access == access_kind::read_transaction) &&
         query.consistency != consistency_level::latest;
@@ -861,7 +911,7 @@
 
 void database_group::poll_instances() {
     const time_point current = now();
-    if (current - last_poll_ < poll_interval) {
+    if (!is_watching() || current - last_poll_ < poll_interval) {
         return;
     }
     last_poll_ = current;
@@ -1187,20 +1237,26 @@
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
         entry.second->tick();
     }
-    probe_primary(current);
+    if (is_watching()) {
+        probe_primary(current);
+    }
     proxy_instance* leader = primary();
-    outage_estimator_.update(leader != nullptr && leader->is_usable(), current);
+    if (is_watching()) {
+        outage_estimator_.update(leader != nullptr && leader->is_usable(), current);
+    }
     if (leader != nullptr) {
         const std::optional<time_point> commit = leader->commit_waiting_since();
         if (commit) {
             failure_detector_.on_commit_waiting(*commit, current);
         }
     }
-    renew_evidence(current);
-    renew_trust_in_use(current);
     check_unconfirmed_commits(current);
-    poll_for_settlement(current);
-    check_recovery(current);
+    if (is_watching()) {
+        renew_evidence(current);
+        renew_trust_in_use(current);
+        poll_for_settlement(current);
+        check_recovery(current);
+    }
     answer_zone_requests();
     tick_tasks(current);
     place_waiting_tasks();
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -29,6 +29,16 @@
 
 namespace gentianhill {
 
+/// Part of a daemon in running the statements of a group.
+enum class group_role : std::uint8_t {
+    /// Each daemon runs the statements of its own clients.
+    shared,
+    /// This daemon runs those of all clients of the zone, and keeps connections for them.
+    owner,
+    /// Another daemon does. This one opens connections only for statements that reach no owner.
+    guest,
+};
+
 /// Limits, timeouts and placement costs of one database group.
 struct database_group_settings {
     /// Availability zone of this proxy. Instances in it are preferred, since traffic between zones is
@@ -47,6 +57,11 @@
     double lagging_ms = 15.0;
     primary_failure_detector_settings failure_detector;
     instance_pool_settings pool;
+    /// Idle time after which an owner closes a connection: longer than the waves of its clients' load, and
+    /// shorter than the time after which instances close idle connections.
+    duration owner_idle_timeout = std::chrono::seconds(20);
+    /// Time after the last statement for which a guest goes on watching the instances of the group.
+    duration guest_interest = std::chrono::seconds(2);
 };
 
 /// Metrics shared by all groups.
@@ -108,6 +123,12 @@
     /// the current share.
     void set_limits(const group_limits& limits, std::size_t proxies);
 
+    /// Sets the part of this daemon; as owner or guest it has at most that many connections to an instance.
+    void set_role(group_role role, std::size_t connections);
+    [[nodiscard]] group_role role() const { return role_; }
+    /// True if this daemon keeps itself informed of the instances.
+    [[nodiscard]] bool is_watching() const;
+
     /// Starts an era of the metadata store. A member may have joined in the time that the restore has removed
     /// and have ended unseen, so the group is settled only by evidence requested at or after `evidence_from`.
     void begin_era(std::uint64_t era, time_point evidence_from);
@@ -279,6 +300,9 @@
     /// A read must see every commit that was acknowledged before this time.
     [[nodiscard]] time_point oldest_allowed_time(const placement_query& query) const;
     void probe_primary(time_point current);
+    void begin_watching();
+    /// Records that a statement is to be placed; a guest then begins to watch the instances.
+    void note_statement();
     void tick_tasks(time_point current);
     [[nodiscard]] proxy_instance* primary();
 
@@ -362,6 +386,9 @@
     std::optional<time_point> unservable_since_;
     time_point last_poll_;
     bool is_prober_ = true;
+    group_role role_ = group_role::shared;
+    /// Time at which a statement was last to be placed.
+    time_point last_statement_;
     double second_read_budget_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -38,6 +38,10 @@
 /// Age of a source's state beyond the duration of one long poll at which the source counts as stale.
 constexpr duration state_age_margin = 1500ms;
 
+/// Time after the last statement that was handed on to this daemon for which it keeps the connections of an
+/// owner. The daemons of a zone take over a new owner within about the same time of each other.
+constexpr duration hosted_group_limit = 3s;
+
 /// Wraps a handler so that it does nothing once the proxy has been destroyed.
 template <typename... argument_types>
 std::function<void(argument_types...)> guarded(const std::weak_ptr<bool>& alive,
@@ -64,6 +68,18 @@
                  });
         };
     }
+    if (ports.relay.hand_on) {
+        ports.relay.hand_on = [alive, call = ports.relay.hand_on](const endpoint& server, std::string message,
+                                                                  duration timeout, hand_on_handler done) {
+            call(server, std::move(message), timeout,
+                 [alive, done = std::move(done)](const std::optional<std::string>& answer,
+                                                 const error& reason) {
+                     if (!alive.expired()) {
+                         done(answer, reason);
+                     }
+                 });
+        };
+    }
     ports.call_after = [alive, call = ports.call_after](duration delay, std::function<void()> action) {
         call(delay, guarded(alive, std::move(action)));
     };
@@ -146,6 +162,9 @@
              registry),
       evidence_(settings.evidence, directory_, ports_.relay, log, registry),
       lease_(ports_.store, log, settings.lease, settings.name, settings.incarnation),
+      owners_(settings.owners, directory_, log, registry),
+      forwarder_(settings.forwarder, owners_, ports_.relay, log, registry, settings.incarnation),
+      host_(settings.host, environment_, log, counters_, registry, settings_.name),
       stop_({settings.grace, balancer_delay}) {
     lease_.now = ports_.now;
     lease_.find_base_term = [this](const std::string& group_name) {
@@ -224,6 +243,19 @@
     };
     environment_.accepts_statements = [this] { return stop_.accepts_statements(); };
     environment_.now = ports_.now;
+    environment_.configuration_version = [this] {
+        return routes_.current() ? routes_.current()->version : 0;
+    };
+    environment_.forwarder = &forwarder_;
+    environment_.hands_on = [this](const std::string& name) {
+        const auto found = groups_.find(name);
+        return found != groups_.end() && found->second->role() == group_role::guest;
+    };
+    owners_.now = ports_.now;
+    owners_.on_change = [this] { apply_group_limits(); };
+    forwarder_.now = ports_.now;
+    host_.on_statement = [this](const std::string& name) { on_hosted_statement(name); };
+    host_.on_heard = [this](const std::string& name) { directory_.on_heard(name); };
 }
 
 proxy::~proxy() {
@@ -243,6 +275,10 @@
     }
     directory_.tick(relay_.is_store_reachable());
     relay_.tick();
+    owners_.tick(daemon_watch_.replica().has_state());
+    expire_hosted_groups(now);
+    forwarder_.tick();
+    host_.tick();
     store_calls_.tick(now);
     lease_.tick();
     observe_era();
@@ -260,6 +296,10 @@
     bool may_start = !promotion_running && !stop_.is_requested();
     for (const std::map<std::string, std::unique_ptr<failover_driver>, std::less<>>::value_type& entry :
          drivers_) {
+        // Without news of the instances nothing is known about the primary.
+        if (!entry.second->is_running() && !groups_.at(entry.first)->is_watching()) {
+            continue;
+        }
         entry.second->tick(may_start);
         may_start = may_start && !entry.second->is_running();
     }
@@ -487,11 +527,50 @@
     for (const auto& [name, limits] : routes_.current()->groups) {
         const auto found = groups_.find(name);
         if (found != groups_.end()) {
-            found->second->set_limits(limits, daemon_count());
+            apply_role(*found->second, limits);
         }
     }
 }
 
+void proxy::apply_role(database_group& members, const group_limits& limits) {
+    members.set_limits(limits, daemon_count());
+    const bool may_hand_on = ports_.relay.hand_on && settings_.peer_address;
+    const bool is_unknown = may_hand_on && !owners_.is_settled();
+    if (!is_unknown && (!may_hand_on || !owners_.is_needed(limits.max_connections))) {
+        members.set_role(group_role::shared, 0);
+        return;
+    }
+    const bool hosts = hosted_at_.find(members.name()) != hosted_at_.end();
+    if (hosts || (!is_unknown && owners_.is_owner(members.name()))) {
+        members.set_role(group_role::owner, owners_.owner_connections(limits.max_connections));
+    } else {
+        members.set_role(group_role::guest, owners_.settings().reserve_connections);
+    }
+}
+
+void proxy::on_hosted_statement(const std::string& group_name) {
+    const bool is_first = hosted_at_.find(group_name) == hosted_at_.end();
+    hosted_at_[group_name] = ports_.now();
+    if (is_first) {
+        log_.write(log_level::info, "ownership", "group_taken_over", {{"group", group_name}});
+        apply_group_limits();
+    }
+}
+
+void proxy::expire_hosted_groups(time_point now) {
+    const std::size_t expired = std::erase_if(
+        hosted_at_, [now](const std::map<std::string, time_point, std::less<>>::value_type& entry) {
+            return now - entry.second > hosted_group_limit;
+        });
+    if (expired > 0) {
+        apply_group_limits();
+    }
+}
+
+bool proxy::has_any_open_work() const {
+    return (has_open_work && has_open_work()) || host_.has_open_work();
+}
+
 std::size_t proxy::daemon_count() const {
     // Before the first listing and while daemons start, the setting reserves connections for the other
     // daemons.
@@ -590,6 +669,7 @@
     stop_.request(ports_.now());
     directory_.remove_own_entry();
     relay_.stop();
+    host_.refuse_new();
     log_.write(log_level::info, "proxy", "stop_requested", {{"grace_ms", to_milliseconds(settings_.grace)}});
 }
 
@@ -598,7 +678,7 @@
     if (before == stop_phase::stopped) {
         return;
     }
-    const stop_phase phase = stop_.advance(now, has_open_work && has_open_work());
+    const stop_phase phase = stop_.advance(now, has_any_open_work());
     if (phase != before) {
         log_.write(log_level::info, "proxy", "stop_phase",
                    {{"phase", to_string(phase)}, {"ms", to_milliseconds(stop_.elapsed(now))}});
@@ -609,11 +689,17 @@
             entry.second->refuse_new_attempts();
         }
     }
-    if (phase == stop_phase::ending && before != phase && on_give_up_statements) {
-        on_give_up_statements();
+    if (phase == stop_phase::ending && before != phase) {
+        host_.give_up("the daemon is stopping");
+        if (on_give_up_statements) {
+            on_give_up_statements();
+        }
     }
-    if (phase >= stop_phase::refusing && on_end_transactions) {
-        on_end_transactions();
+    if (phase >= stop_phase::refusing) {
+        host_.end_transactions();
+        if (on_end_transactions) {
+            on_end_transactions();
+        }
     }
     if (phase >= stop_phase::closing_sessions && on_close_idle_sessions) {
         on_close_idle_sessions();
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -7,10 +7,13 @@
 #include "gentianhill/metadata/collection_watch.h"
 #include "gentianhill/metadata/metadata_store.h"
 #include "gentianhill/metadata/store_call_counter.h"
+#include "gentianhill/ownership/owner_selection.h"
+#include "gentianhill/ownership/statement_forwarder.h"
 #include "gentianhill/proxy/client_session.h"
 #include "gentianhill/proxy/database_group.h"
 #include "gentianhill/proxy/failover_driver.h"
 #include "gentianhill/proxy/member_record.h"
+#include "gentianhill/proxy/statement_host.h"
 #include "gentianhill/proxy/term_record.h"
 #include "gentianhill/relay/daemon_directory.h"
 #include "gentianhill/relay/relay_port.h"
@@ -51,6 +54,9 @@
     daemon_directory_settings directory;
     state_relay_settings relay;
     zone_evidence_settings evidence;
+    owner_selection_settings owners;
+    statement_forwarder_settings forwarder;
+    statement_host_settings host;
 };
 
 /// External operations used by a proxy.
@@ -99,6 +105,10 @@
     /// Answers a request of another daemon.
     void on_relay_request(relay_request_kind kind, const nlohmann::json& message,
                           relay_answer_handler respond);
+    /// Answers a message about a statement that another daemon hands on.
+    void on_hand_on(std::string_view message, const hand_on_handler& respond) {
+        host_.on_message(message, respond);
+    }
     /// Opens a session; null when the database has no route. Requires has_configuration().
     [[nodiscard]] std::unique_ptr<client_session> open_session(const std::string& database);
     /// True once a configuration is in effect.
@@ -130,6 +140,13 @@
     void on_instance_changed(const listed_instance& listed);
     void on_evidence_request(const nlohmann::json& message, const relay_answer_handler& respond);
     void apply_group_limits();
+    /// Sets the part that this daemon has in running the statements of a group.
+    void apply_role(database_group& members, const group_limits& limits);
+    /// Records that this daemon runs a statement of a group for another one.
+    void on_hosted_statement(const std::string& group_name);
+    /// Gives up the part of an owner in groups whose statements are no longer handed on to this daemon.
+    void expire_hosted_groups(time_point now);
+    [[nodiscard]] bool has_any_open_work() const;
     /// Applies the ranks of this daemon among all, which decide who probes, promotes and records first.
     void apply_ranks();
     /// Time at which this daemon records a change of a group's members that it sees now.
@@ -182,6 +199,11 @@
     /// Era of the store for which the records are scheduled.
     std::uint64_t recorded_era_ = 0;
     session_environment environment_;
+    owner_selection owners_;
+    statement_forwarder forwarder_;
+    statement_host host_;
+    /// Time of the last statement that another daemon has handed on, by group.
+    std::map<std::string, time_point, std::less<>> hosted_at_;
     graceful_stop stop_;
     std::optional<time_point> unready_since_;
     bool listing_members_ = false;
--- a/gentianhill/relay/relay_port.h
+++ b/gentianhill/relay/relay_port.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace gentianhill {
@@ -28,6 +29,9 @@
 using relay_answer_handler =
     std::function<void(const std::optional<nlohmann::json>& answer, const error& reason)>;
 
+/// Receives the answer to a statement that was handed on, or nothing and the reason.
+using hand_on_handler = std::function<void(const std::optional<std::string>& answer, const error& reason)>;
+
 /// Requests to other daemons; filled by the transport, or by a test.
 struct relay_port {
     /// Sends a request. The handler is called once, never from within the call. Empty when this daemon talks
@@ -35,6 +39,10 @@
     std::function<void(const endpoint& server, relay_request_kind kind, const nlohmann::json& message,
                        duration timeout, relay_answer_handler done)>
         ask;
+    /// Sends a message about a statement that is handed on, on connections of their own. The handler is
+    /// called once, never from within the call. Empty when this daemon talks to no others.
+    std::function<void(const endpoint& server, std::string message, duration timeout, hand_on_handler done)>
+        hand_on;
 };
 
 } // namespace gentianhill
--- a/gentianhill/relay/relay_transport.cpp
+++ b/gentianhill/relay/relay_transport.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianhill/core/object_reader.h"
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <string>
@@ -18,6 +19,7 @@
 constexpr int status_not_found = 404;
 constexpr int status_too_large = 413;
 constexpr std::string_view path_prefix = "/relay/v1/";
+const std::string hand_on_path = "/relay/v1/statement";
 constexpr std::array<relay_request_kind, 2> all_kinds{relay_request_kind::state,
                                                       relay_request_kind::evidence};
 constexpr duration idle_check_interval = 10s;
@@ -28,7 +30,7 @@
 http2::server_settings server_settings(const relay_transport_settings& settings) {
     http2::server_settings result;
     result.listen = settings.listen;
-    result.max_body_bytes = settings.max_request_bytes;
+    result.max_body_bytes = std::max(settings.max_request_bytes, settings.max_hand_on_bytes);
     return result;
 }
 
@@ -89,10 +91,42 @@
     port.ask = [this](const endpoint& server, relay_request_kind kind, const nlohmann::json& message,
                       duration timeout,
                       relay_answer_handler done) { ask(server, kind, message, timeout, std::move(done)); };
+    port.hand_on = [this](const endpoint& server, std::string message, duration timeout,
+                          hand_on_handler done) {
+        hand_on(server, std::move(message), timeout, std::move(done));
+    };
     return port;
 }
 
+void relay_transport::answer_hand_on(const http2::request& received,
+                                     const http2::server::responder& respond) {
+    if (!on_hand_on) {
+        respond(refusal(status_not_found, {error_code::unknown_path, "path", received.path, ""}));
+        return;
+    }
+    on_hand_on(received.body, [respond](const std::optional<std::string>& answered, const error& refused) {
+        respond(answered ? http2::response{status_ok, *answered} : refusal(status_bad_request, refused));
+    });
+}
+
+void relay_transport::hand_on(const endpoint& server, std::string message, duration timeout,
+                              hand_on_handler done) {
+    link_to(server, hand_on_path)
+        .send({"POST", hand_on_path, std::move(message)}, timeout,
+              [done = std::move(done)](const std::optional<http2::response>& reply, const error& reason) {
+                  if (reply && reply->status == status_ok) {
+                      done(reply->body, {});
+                  } else {
+                      done(std::nullopt, reply ? read_refusal(*reply) : reason);
+                  }
+              });
+}
+
 void relay_transport::answer(const http2::request& received, const http2::server::responder& respond) {
+    if (received.path == hand_on_path && received.method == "POST") {
+        answer_hand_on(received, respond);
+        return;
+    }
     const std::optional<relay_request_kind> kind = kind_of(received.path);
     if (!kind || received.method != "POST") {
         respond(refusal(status_not_found,
@@ -117,7 +151,7 @@
 
 void relay_transport::ask(const endpoint& server, relay_request_kind kind, const nlohmann::json& message,
                           duration timeout, relay_answer_handler done) {
-    link_to(server, kind)
+    link_to(server, path_of(kind))
         .send({"POST", path_of(kind), dump(message)}, timeout,
               [limit = settings_.max_answer_bytes,
                done = std::move(done)](const std::optional<http2::response>& reply, const error& reason) {
@@ -135,15 +169,17 @@
               });
 }
 
-http2::reconnecting_client& relay_transport::link_to(const endpoint& server, relay_request_kind kind) {
-    link& found = links_[{server, kind}];
+http2::reconnecting_client& relay_transport::link_to(const endpoint& server, const std::string& path) {
+    link& found = links_[{server, path}];
     if (found.client == nullptr) {
         http2::reconnecting_client_settings settings;
         settings.connection.server = server;
-        settings.connection.connect_timeout = settings_.connect_timeout;
+        settings.connection.connect_timeout =
+            path == hand_on_path ? settings_.hand_on_connect_timeout : settings_.connect_timeout;
         settings.connection.max_body_bytes = settings_.max_answer_bytes;
         settings.max_open_requests = settings_.max_open_requests;
-        settings.silent_timeouts = kind == relay_request_kind::state ? 1 : silent_evidence_timeouts;
+        settings.silent_timeouts =
+            path == path_of(relay_request_kind::evidence) ? silent_evidence_timeouts : 1;
         found.client = std::make_unique<http2::reconnecting_client>(loop_, settings, random_);
     }
     found.used_at = event_loop::now();
--- a/gentianhill/relay/relay_transport.h
+++ b/gentianhill/relay/relay_transport.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace gentianhill {
@@ -18,12 +20,17 @@
 struct relay_transport_settings {
     /// Address for other daemons.
     endpoint listen;
-    /// Largest request, in bytes.
+    /// Largest request other than a statement that is handed on, in bytes.
     std::size_t max_request_bytes = 64U << 10U;
+    /// Largest message with a statement that is handed on, in bytes: a statement of 1 MiB with its session.
+    std::size_t max_hand_on_bytes = 1280U << 10U;
     /// Largest answer, in bytes. A whole collection of the aim's size has about 4 MB.
     std::size_t max_answer_bytes = 16U << 20U;
     /// Longest time to establish a connection.
     duration connect_timeout = std::chrono::milliseconds(400);
+    /// Longest time to establish a connection for statements, which wait for it; hosts of one zone are tenths
+    /// of a millisecond apart.
+    duration hand_on_connect_timeout = std::chrono::milliseconds(150);
     /// Requests open at once to one daemon.
     std::size_t max_open_requests = 256;
     /// A connection without requests for this time is closed.
@@ -44,6 +51,8 @@
 
     /// Called for each valid request of another daemon.
     request_handler on_request;
+    /// Called for each message about a statement that is handed on.
+    std::function<void(std::string_view message, hand_on_handler respond)> on_hand_on;
 
     /// Starts to listen. Errors: bind_failed.
     [[nodiscard]] bool listen(error& reason);
@@ -56,12 +65,15 @@
         std::unique_ptr<http2::reconnecting_client> client;
         time_point used_at;
     };
-    using link_key = std::pair<endpoint, relay_request_kind>;
+    /// Server and path of the requests.
+    using link_key = std::pair<endpoint, std::string>;
 
     void answer(const http2::request& received, const http2::server::responder& respond);
     void ask(const endpoint& server, relay_request_kind kind, const nlohmann::json& message, duration timeout,
              relay_answer_handler done);
-    [[nodiscard]] http2::reconnecting_client& link_to(const endpoint& server, relay_request_kind kind);
+    void answer_hand_on(const http2::request& received, const http2::server::responder& respond);
+    void hand_on(const endpoint& server, std::string message, duration timeout, hand_on_handler done);
+    [[nodiscard]] http2::reconnecting_client& link_to(const endpoint& server, const std::string& path);
     void close_idle_links();
 
     event_loop& loop_;
--- a/gentianhill/session/session_state.h
+++ b/gentianhill/session/session_state.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace gentianhill {
 
@@ -28,6 +29,8 @@
 
     /// Sets or replaces a session value.
     void set_value(std::string_view name, std::string_view value);
+    /// Replaces all session values.
+    void replace_values(value_map values) { values_ = std::move(values); }
     /// Adds or replaces a prepared statement; false when a new name would exceed `max_prepared`.
     [[nodiscard]] bool prepare(std::string_view name, const prepared_statement& prepared);
     /// Removes a prepared statement; false when there is none with that name.
