--- a/gentianhill/ownership/statement_forwarder.cpp
+++ b/gentianhill/ownership/statement_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "gentianhill/ownership/statement_forwarder.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 #include <vector>
 
@@ -47,7 +48,7 @@
         return false;
     }
     const std::string owner = owners_.owner_of(statement.request.selected_route->group);
-    if (owner == owners_.own_name() || !owners_.address_of(owner)) {
+    if (owner == owners_.own_name() || !address_of(owner)) {
         return false;
     }
     if (statement.request.client_statement.text.size() + statement.request.client_statement.argument.size() >
@@ -70,7 +71,7 @@
 
 void statement_forwarder::end(const remote_transaction& transaction) {
     note_transaction(transaction.owner, transaction.handle, 0);
-    const std::optional<endpoint> address = owners_.address_of(transaction.owner);
+    const std::optional<endpoint> address = address_of(transaction.owner);
     if (!address) {
         return;
     }
@@ -90,7 +91,7 @@
     ++statement.owners_asked;
     statement.request.daemon = owners_.own_name();
     statement.request.incarnation = incarnation_;
-    const std::optional<endpoint> address = owners_.address_of(owner);
+    const std::optional<endpoint> address = address_of(owner);
     const std::uint64_t number = ++last_number_;
     const std::string message = statement.request.encode(current);
     const duration timeout = std::max(
@@ -101,8 +102,9 @@
     }
     target.open.emplace(number, std::move(statement));
     handed_on_.add();
-    // A transaction outlives the entry of an owner that stops.
-    port_.hand_on(address.value_or(endpoint{}), message, timeout + settings_.answer_margin,
+    // Only daemons that were listed are chosen.
+    assert(address);
+    port_.hand_on(*address, message, timeout + settings_.answer_margin,
                   [this, owner, number, alive = std::weak_ptr<bool>(alive_)](
                       const std::optional<std::string>& bytes, const error& reason) {
                       if (!alive.expired()) {
@@ -228,6 +230,13 @@
     }
 }
 
+std::optional<endpoint> statement_forwarder::address_of(const std::string& name) {
+    std::optional<endpoint>& known = peers_[name].address;
+    const std::optional<endpoint> listed = owners_.address_of(name);
+    known = listed ? listed : known;
+    return known;
+}
+
 void statement_forwarder::set_unavailable(const std::string& owner, std::string_view reason) {
     if (owners_.unavailable().count(owner) > 0) {
         return;
@@ -237,7 +246,7 @@
 }
 
 void statement_forwarder::probe(const std::string& owner) {
-    const std::optional<endpoint> address = owners_.address_of(owner);
+    const std::optional<endpoint> address = address_of(owner);
     if (!address || !port_.hand_on) {
         return;
     }
--- a/gentianhill/ownership/statement_forwarder.h
+++ b/gentianhill/ownership/statement_forwarder.h
@@ -95,6 +95,8 @@
     };
     /// What is known of another daemon.
     struct peer {
+        /// Address, also after a daemon that stops has removed its entry.
+        std::optional<endpoint> address;
         time_point last_heard;
         bool is_probed = false;
         time_point probed_at;
@@ -115,6 +117,8 @@
     void probe(const std::string& owner);
     void on_probed(const std::string& owner, const std::optional<std::string>& bytes, const error& reason);
     void fail_open_statements(const std::string& owner);
+    /// Address of a daemon, if it is or was listed.
+    [[nodiscard]] std::optional<endpoint> address_of(const std::string& name);
     void note_transaction(const std::string& owner, std::uint64_t before, std::uint64_t handle);
 
     statement_forwarder_settings settings_;
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -74,6 +74,9 @@
 /// Share of an instance's connections divided among the proxies; the rest is left for proxies that start or
 /// are replaced.
 constexpr double connection_share = 0.85;
+/// A guest's control connection is closed after this time without use: the next status call of a poll that
+/// opened it follows within two periods of the periodic work.
+constexpr duration guest_control_idle_timeout = 100ms;
 /// Statements in flight beyond the instance's slots, to keep it busy while answers are in transit.
 constexpr std::size_t in_flight_reserve = 2;
 
@@ -223,7 +226,7 @@
         settings_.pool.max_connections = connections;
         settings_.pool.idle_timeout = duration(0);
         settings_.pool.min_idle = 0;
-        settings_.pool.control_idle_timeout = duration(0);
+        settings_.pool.control_idle_timeout = guest_control_idle_timeout;
         break;
     }
     set_limits(limits_, 0);
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -109,6 +109,8 @@
     void on_hand_on(std::string_view message, const hand_on_handler& respond) {
         host_.on_message(message, respond);
     }
+    /// True while a statement or transaction of another daemon is open here.
+    [[nodiscard]] bool has_hosted_statements() const { return host_.has_open_work(); }
     /// Opens a session; null when the database has no route. Requires has_configuration().
     [[nodiscard]] std::unique_ptr<client_session> open_session(const std::string& database);
     /// True once a configuration is in effect.
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -230,8 +230,8 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-simulated_deployment::simulated_deployment(std::size_t proxies, std::size_t zones)
-    : store(clock), service({}), zones_(zones) {
+simulated_deployment::simulated_deployment(std::size_t proxies, std::size_t zones, bool has_owners)
+    : store(clock), service({}), zones_(zones), has_owners_(has_owners) {
     service.call_after = [this](duration delay, std::function<void()> action) {
         clock.call_after(delay, no_host, std::move(action));
     };
@@ -284,11 +284,13 @@
     }
 }
 
-void simulated_deployment::ask_proxy(std::size_t from, const endpoint& server, relay_request_kind kind,
-                                     const nlohmann::json& message, duration timeout,
-                                     const relay_answer_handler& done) {
+template <typename answer_type>
+void simulated_deployment::exchange(
+    std::size_t from, const endpoint& server, duration timeout,
+    const std::function<void(const std::optional<answer_type>& answer, const error& reason)>& done,
+    const std::function<void(std::size_t to, const peer_responder<answer_type>& respond)>& deliver) {
     const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
-    const auto finish = [this, from, answered, done](duration delay, std::optional<nlohmann::json> answer,
+    const auto finish = [this, from, answered, done](duration delay, std::optional<answer_type> answer,
                                                      error reason) {
         clock.call_after(delay, host_name(from),
                          [answered, done, answer = std::move(answer), reason = std::move(reason)] {
@@ -300,7 +302,7 @@
     };
     finish(timeout, std::nullopt, error{error_code::timed_out, "server", server.to_string(), ""});
     const std::size_t to = server.port - first_peer_port;
-    clock.call_after(proxy_delay, host_name(to), [this, from, to, kind, message, finish] {
+    clock.call_after(proxy_delay, host_name(to), [this, from, to, deliver, finish] {
         if (cut_proxies_.count(from) > 0 || cut_proxies_.count(to) > 0) {
             return;
         }
@@ -308,15 +310,50 @@
             finish(proxy_delay, std::nullopt, error{error_code::connect_failed, "server", host_name(to), ""});
             return;
         }
-        hosts_[to].served->on_relay_request(
-            kind, message,
-            [this, kind, finish](const std::optional<nlohmann::json>& answer, const error& reason) {
-                ++relayed[kind];
-                finish(proxy_delay, answer, reason);
-            });
+        open_exchanges_.push_back(
+            {to, [finish] {
+                 finish(proxy_delay, std::nullopt, error{error_code::connection_lost, "server", "", ""});
+             }});
+        deliver(to, [finish](const std::optional<answer_type>& answer, const error& reason) {
+            finish(proxy_delay, answer, reason);
+        });
     });
 }
 
+void simulated_deployment::ask_proxy(std::size_t from, const endpoint& server, relay_request_kind kind,
+                                     const nlohmann::json& message, duration timeout,
+                                     const relay_answer_handler& done) {
+    exchange<nlohmann::json>(
+        from, server, timeout, done,
+        [this, kind, message](std::size_t to, const peer_responder<nlohmann::json>& respond) {
+            at(to).on_relay_request(
+                kind, message,
+                [this, kind, respond](const std::optional<nlohmann::json>& answer, const error& reason) {
+                    ++relayed[kind];
+                    respond(answer, reason);
+                });
+        });
+}
+
+void simulated_deployment::hand_on(std::size_t from, const endpoint& server, const std::string& message,
+                                   duration timeout, const hand_on_handler& done) {
+    exchange<std::string>(from, server, timeout, done,
+                          [this, from, message](std::size_t to, const peer_responder<std::string>& respond) {
+                              std::string received = message;
+                              if (on_hand_on_message && !on_hand_on_message(from, to, received)) {
+                                  return;
+                              }
+                              ++messages_handed_on[to];
+                              at(to).on_hand_on(received,
+                                                [this, to, respond](const std::optional<std::string>& answer,
+                                                                    const error& reason) {
+                                                    if (mute_proxies.count(to) == 0) {
+                                                        respond(answer, reason);
+                                                    }
+                                                });
+                          });
+}
+
 proxy_ports simulated_deployment::make_ports(std::size_t index) {
     const std::string own_name = host_name(index);
     proxy_ports ports;
@@ -346,6 +383,10 @@
                                     const relay_answer_handler& done) {
         ask_proxy(index, server, kind, message, timeout, done);
     };
+    ports.relay.hand_on = [this, index](const endpoint& server, const std::string& message, duration timeout,
+                                        const hand_on_handler& done) {
+        hand_on(index, server, message, timeout, done);
+    };
     ports.call_after = [this, own_name](duration delay, std::function<void()> action) {
         clock.call_after(delay, own_name, std::move(action));
     };
@@ -407,12 +448,22 @@
     settings.zone = index % zones_ == 0 ? "a" : "b";
     settings.incarnation = std::to_string(++started.incarnation);
     settings.peer_address = endpoint{"10.0.1.1", static_cast<std::uint16_t>(first_peer_port + index)};
+    if (has_owners_) {
+        // More connections than any daemon has, so that statements are handed on.
+        settings.owners.min_direct_connections = 1000;
+    }
     started.served = std::make_unique<proxy>(settings, make_ports(index), *started.log, *started.registry);
     started.served->start();
 }
 
 void simulated_deployment::kill(std::size_t index) {
     hosts_[index].served.reset();
+    for (const open_exchange& open : open_exchanges_) {
+        if (open.to == index) {
+            open.fail();
+        }
+    }
+    std::erase_if(open_exchanges_, [index](const open_exchange& open) { return open.to == index; });
 }
 
 bool simulated_deployment::is_cut(std::size_t proxy, const std::string& instance) const {
--- a/tests/proxy/simulated_deployment.h
+++ b/tests/proxy/simulated_deployment.h
@@ -61,8 +61,9 @@
 /// promotion service.
 class simulated_deployment {
 public:
-    /// The proxies are in one availability zone, or in two by turns.
-    explicit simulated_deployment(std::size_t proxies = 2, std::size_t zones = 2);
+    /// The proxies are in one availability zone, or in two by turns. With `has_owners`, statements are handed
+    /// on to the owner of the group.
+    explicit simulated_deployment(std::size_t proxies = 2, std::size_t zones = 2, bool has_owners = false);
     ~simulated_deployment();
 
     /// Connects a client to a proxy with the database "latest", "bounded" or "own", named after its
@@ -106,6 +107,13 @@
     /// Requests between proxies that were answered, by kind.
     std::map<relay_request_kind, std::size_t> relayed;
     std::vector<std::string> log_lines;
+    /// Called for each message about a statement that is handed on; may change it, or return false to lose
+    /// it.
+    std::function<bool(std::size_t from, std::size_t to, std::string& message)> on_hand_on_message;
+    /// Such messages by receiver.
+    std::map<std::size_t, std::size_t> messages_handed_on;
+    /// Proxies whose answers to such messages are lost.
+    std::set<std::size_t> mute_proxies;
 
 private:
     friend class simulated_link;
@@ -117,6 +125,21 @@
     };
 
     [[nodiscard]] proxy_ports make_ports(std::size_t proxy);
+    template <typename answer_type>
+    using peer_responder = std::function<void(const std::optional<answer_type>& answer, const error& reason)>;
+    /// Request that reached a proxy. Its connection is lost when that proxy is killed.
+    struct open_exchange {
+        std::size_t to = 0;
+        std::function<void()> fail;
+    };
+
+    template <typename answer_type>
+    void
+    exchange(std::size_t from, const endpoint& server, duration timeout,
+             const std::function<void(const std::optional<answer_type>& answer, const error& reason)>& done,
+             const std::function<void(std::size_t to, const peer_responder<answer_type>& respond)>& deliver);
+    void hand_on(std::size_t from, const endpoint& server, const std::string& message, duration timeout,
+                 const hand_on_handler& done);
     /// Carries a request from one proxy to another.
     void ask_proxy(std::size_t from, const endpoint& server, relay_request_kind kind,
                    const nlohmann::json& message, duration timeout, const relay_answer_handler& done);
@@ -124,6 +147,8 @@
 
     std::vector<host> hosts_;
     std::size_t zones_;
+    bool has_owners_;
+    std::vector<open_exchange> open_exchanges_;
     std::set<std::pair<std::size_t, std::string>> cuts_;
     std::set<std::size_t> cut_proxies_;
     /// Draws the answers that are repeated, so that the other faults of a seed do not depend on them.
