--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -1017,6 +1017,10 @@
         (!need.max_point_age || read_points_.find_oldest(asked_at - *need.max_point_age, trust_.until()));
     if (!suffices) {
         zone_pause_until_ = now() + zone_pause;
+        if (need.trust && !unconfirmed_.empty()) {
+            // No waiting statement asks again for a commit that waits for its confirmation.
+            request_evidence_from_instances();
+        }
     }
     place_waiting_tasks();
 }
