--- a/gentianhill/metadata/collection_watch.cpp
+++ b/gentianhill/metadata/collection_watch.cpp
@@ -112,6 +112,12 @@
                 {"objects", page_items_.size()},
                 {"revision", page_version_.revision},
                 {"era", page_version_.era}});
+    if (list_may_be_old_ && accepts_old_list && !accepts_old_list(page_items_)) {
+        page_items_.clear();
+        calling_ = false;
+        stop();
+        return;
+    }
     const std::weak_ptr<bool> alive = alive_;
     apply_list();
     page_items_.clear();
--- a/gentianhill/metadata/collection_watch.h
+++ b/gentianhill/metadata/collection_watch.h
@@ -50,6 +50,9 @@
     std::function<void(const std::vector<stored_object>&)> on_list;
     /// Called for each change of an object.
     std::function<void(const store_event&)> on_event;
+    /// Returns whether a first list that may be old is complete enough to be used; empty accepts any. A watch
+    /// whose list is not accepted stops.
+    std::function<bool(const std::vector<stored_object>&)> accepts_old_list;
     /// Called when the store becomes reachable (true) or unreachable (false).
     std::function<void(bool reachable)> on_reachable;
 
--- a/gentianhill/ownership/owner_selection.h
+++ b/gentianhill/ownership/owner_selection.h
@@ -31,7 +31,7 @@
     std::size_t reserve_connections = 1;
     /// Time after the start in which a daemon that does not know the others yet opens no connections to
     /// instances on its own account.
-    duration unknown_limit = std::chrono::milliseconds(500);
+    duration unknown_limit = std::chrono::milliseconds(2000);
 };
 
 /// Decides which daemon of the zone runs the statements of a group: the first one in the rendezvous order of
--- a/gentianhill/ownership/statement_forwarder.h
+++ b/gentianhill/ownership/statement_forwarder.h
@@ -30,7 +30,7 @@
     /// Added to the time left of a statement for its answer to arrive.
     duration answer_margin = std::chrono::milliseconds(100);
     /// Owners that a statement is sent to one after the other, at most.
-    std::uint32_t max_owners = 3;
+    std::uint32_t max_owners = 8;
     /// Largest message that starts at an owner; a statement with a longer session is run by its own daemon.
     std::size_t max_message_bytes = 256U << 10U;
 };
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -57,9 +57,9 @@
     double lagging_ms = 15.0;
     primary_failure_detector_settings failure_detector;
     instance_pool_settings pool;
-    /// Idle time after which an owner closes a connection: longer than the waves of its clients' load, and
-    /// shorter than the time after which instances close idle connections.
-    duration owner_idle_timeout = std::chrono::seconds(20);
+    /// Idle time after which an owner closes a connection. An instance counts the connections of a process that
+    /// has ended for seconds, so idle ones take places that the processes which replace it need.
+    duration owner_idle_timeout = std::chrono::seconds(4);
     /// Time after the last statement for which a guest goes on watching the instances of the group.
     duration guest_interest = std::chrono::seconds(2);
 };
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -40,7 +40,7 @@
 
 /// Time after the last statement that was handed on to this daemon for which it keeps the connections of an
 /// owner. The daemons of a zone take over a new owner within about the same time of each other.
-constexpr duration hosted_group_limit = 3s;
+constexpr duration hosted_group_limit = 1500ms;
 
 /// Wraps a handler so that it does nothing once the proxy has been destroyed.
 template <typename... argument_types>
--- a/gentianhill/relay/relay_transport.cpp
+++ b/gentianhill/relay/relay_transport.cpp
@@ -134,6 +134,12 @@
         return;
     }
     error reason;
+    if (received.body.size() > settings_.max_request_bytes) {
+        reason = {error_code::too_large, "body", std::to_string(received.body.size()),
+                  std::to_string(settings_.max_request_bytes)};
+        respond(refusal(status_too_large, reason));
+        return;
+    }
     const std::optional<nlohmann::json> message =
         parse_json(received.body, settings_.max_request_bytes, reason);
     if (!message) {
--- a/gentianhill/relay/state_relay.cpp
+++ b/gentianhill/relay/state_relay.cpp
@@ -64,14 +64,26 @@
         watches_[index]->set_active(false);
         watches_[index]->start();
     }
+    // The entries of a deployment whose processes have been restarted are complete from the start; those of
+    // one that starts for the first time lack this daemon's own.
+    watches_.back()->accepts_old_list = [this](const std::vector<stored_object>& objects) {
+        return std::any_of(objects.begin(), objects.end(), [this](const stored_object& object) {
+            return object.name == directory_.name();
+        });
+    };
+    watches_.back()->set_active(false);
+    watches_.back()->start();
 }
 
 bool state_relay::knows_place() const {
-    return watches_.back()->replica().has_state() || now() - started_at_ >= settings_.decision_limit;
+    const time_point current = now();
+    return (watches_.back()->replica().has_state() && current >= list_daemons_at_) ||
+           current - started_at_ >= settings_.decision_limit;
 }
 
 void state_relay::list_only() {
     if (!watches_.back()->is_started() && now() >= list_daemons_at_) {
+        watches_.back()->accepts_old_list = nullptr;
         watches_.back()->set_active(false);
         watches_.back()->start();
     }
