--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -77,6 +77,9 @@
 /// A guest's control connection is closed after this time without use: the next status call of a poll that
 /// opened it follows within two periods of the periodic work.
 constexpr duration guest_control_idle_timeout = 100ms;
+/// Longest time for which statements wait for the first read point: an instance counts the connections of a
+/// process that has ended for 3 s.
+constexpr duration warm_up_limit = 3500ms;
 /// Statements in flight beyond the instance's slots, to keep it busy while answers are in transit.
 constexpr std::size_t in_flight_reserve = 2;
 
@@ -113,6 +116,7 @@
       clock_(std::move(clock)),
       trust_(settings.trust_window),
       failure_detector_(settings.failure_detector) {
+    watching_since_ = now();
     failure_detector_.reset(false, now());
     settlement_.unsettle(now());
 }
@@ -250,11 +254,17 @@
 
 void database_group::begin_watching() {
     // What was not watched says nothing about the primary.
-    failure_detector_.reset(!primary_id_.empty(), now());
+    watching_since_ = now();
+    failure_detector_.reset(!primary_id_.empty(), watching_since_);
     last_poll_ = time_point{};
     poll_instances();
 }
 
+bool database_group::is_warming_up() const {
+    const std::optional<time_point> newest = read_points_.newest_at();
+    return now() - watching_since_ < warm_up_limit && (!newest || *newest < watching_since_);
+}
+
 void database_group::begin_era(std::uint64_t era, time_point evidence_from) {
     era_ = era;
     settlement_.unsettle_for_new_era(evidence_from);
@@ -624,20 +634,20 @@
     open_polls_.erase(instance.listed().id);
 }
 
-void database_group::poll_status(proxy_instance& instance) {
+bool database_group::poll_status(proxy_instance& instance) {
     const std::string& id = instance.listed().id;
     const time_point current = now();
     const std::map<std::string, status_poll>::iterator open = open_polls_.find(id);
     if (open != open_polls_.end() && current - open->second.sent_at < status_timeout) {
-        return;
+        return true;
     }
     const std::map<std::string, time_point>::iterator last = status_sent_at_.find(id);
     if (last != status_sent_at_.end() && current - last->second < status_spacing) {
-        return;
+        return true;
     }
     pooled_connection* connection = instance.take_for_status_call();
     if (connection == nullptr) {
-        return;
+        return false;
     }
     open_polls_.insert_or_assign(id, status_poll{current, connection->number()});
     status_sent_at_[id] = current;
@@ -655,6 +665,7 @@
                        {{"instance", id}, {"outcome", to_string(answer.result.outcome)}});
         }
     });
+    return true;
 }
 
 void database_group::on_status(proxy_instance& instance, const instance_status& status, time_point sent_at) {
@@ -917,10 +928,12 @@
     if (!is_watching() || current - last_poll_ < poll_interval) {
         return;
     }
-    last_poll_ = current;
+    bool is_sent = instances_.empty();
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
-        poll_status(*entry.second);
+        is_sent = poll_status(*entry.second) || is_sent;
     }
+    // While all connections are being opened, the next periodic work tries again.
+    last_poll_ = is_sent ? current : last_poll_;
 }
 
 bool database_group::is_trusted_since(time_point moment) const {
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -57,8 +57,8 @@
     double lagging_ms = 15.0;
     primary_failure_detector_settings failure_detector;
     instance_pool_settings pool;
-    /// Idle time after which an owner closes a connection. An instance counts the connections of a process that
-    /// has ended for seconds, so idle ones take places that the processes which replace it need.
+    /// Idle time after which an owner closes a connection. An instance counts the connections of a process
+    /// that has ended for seconds, so idle ones take places that the processes which replace it need.
     duration owner_idle_timeout = std::chrono::seconds(4);
     /// Time after the last statement for which a guest goes on watching the instances of the group.
     duration guest_interest = std::chrono::seconds(2);
@@ -207,6 +207,9 @@
     [[nodiscard]] bool is_serving() const;
     /// Records that a statement was refused because no instance or fresh read point was available.
     void on_unservable_statement();
+    /// True while this daemon has watched the instances for a short time only and lacks a read point. Places
+    /// at instances that are full of the connections of ended processes become free in that time.
+    [[nodiscard]] bool is_warming_up() const;
     /// Time by which a new primary is expected to serve; nothing while one serves.
     [[nodiscard]] std::optional<time_point> primary_expected_at() const;
     /// Consumes one second read from the budget; false when it is exhausted.
@@ -229,7 +232,8 @@
     void on_failure(proxy_instance& instance, disconnect_reason reason);
     /// Called when an instance is found to send answers twice.
     void on_repeated_answers(const proxy_instance& instance);
-    void poll_status(proxy_instance& instance);
+    /// Returns false if the call has to wait for a connection.
+    bool poll_status(proxy_instance& instance);
     void on_status(proxy_instance& instance, const instance_status& status, time_point sent_at);
     void set_primary(const std::string& id, term_number term);
     /// Settles the group by the answer of a replica to a status call sent at `sent_at`, if it suffices.
@@ -387,6 +391,8 @@
     time_point last_poll_;
     bool is_prober_ = true;
     group_role role_ = group_role::shared;
+    /// Time since which this daemon has watched the instances without interruption.
+    time_point watching_since_;
     /// Time at which a statement was last to be placed.
     time_point last_statement_;
     double second_read_budget_ = 0;
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -357,7 +357,7 @@
 
 void statement_task::refuse_if_waited_too_long(time_point now) {
     const duration waited = now - waiting_since_;
-    const bool unservable = wait_reason_ != placement_wait::no_connection;
+    const bool unservable = wait_reason_ != placement_wait::no_connection && !group_.is_warming_up();
     duration limit = share_of(request_.selected_route->timeout, queue_share);
     if (unservable) {
         limit = share_of(request_.selected_route->target_latency, unservable_wait_share);
--- a/gentianhill/relay/state_relay.cpp
+++ b/gentianhill/relay/state_relay.cpp
@@ -67,9 +67,8 @@
     // The entries of a deployment whose processes have been restarted are complete from the start; those of
     // one that starts for the first time lack this daemon's own.
     watches_.back()->accepts_old_list = [this](const std::vector<stored_object>& objects) {
-        return std::any_of(objects.begin(), objects.end(), [this](const stored_object& object) {
-            return object.name == directory_.name();
-        });
+        return std::any_of(objects.begin(), objects.end(),
+                           [this](const stored_object& object) { return object.name == directory_.name(); });
     };
     watches_.back()->set_active(false);
     watches_.back()->start();
