--- a/gentianhill/metadata/collection_watch.cpp
+++ b/gentianhill/metadata/collection_watch.cpp
@@ -65,6 +65,7 @@
         page_items_.clear();
         has_page_ = false;
         listed_from_ = replica_.version();
+        list_asked_at_ = call_time();
         list_may_be_old_ = settings_.lists_may_be_old && !replica_.has_state();
     }
     const metadata_store::handler on_page =
@@ -125,7 +126,11 @@
         if (replica_.has_state() && page_version_ < listed_from_) {
             discard_newer_state(page_version_);
         }
+        const std::weak_ptr<bool> alive = alive_;
         replica_.replace(page_items_, page_version_);
+        if (!alive.expired()) {
+            note_complete(page_version_, list_asked_at_);
+        }
         return;
     }
     for (stored_object& item : page_items_) {
@@ -155,13 +160,19 @@
     // After a gap the era is asked first, since a restored store may wait for changes after a revision that
     // it has given out again.
     const duration wait = after_gap_ ? duration(0) : settings_.wait;
-    store_.watch(
-        collection_, replica_.version().revision, wait,
-        [this, from = replica_.version(), alive = std::weak_ptr<bool>(alive_)](const store_answer& answer) {
-            if (!alive.expired()) {
-                on_watch_answer(from, answer);
-            }
-        });
+    store_.watch(collection_, replica_.version().revision, wait,
+                 [this, from = replica_.version(), asked_at = call_time(),
+                  alive = std::weak_ptr<bool>(alive_)](const store_answer& answer) {
+                     if (!alive.expired()) {
+                         on_watch_answer(from, asked_at, answer);
+                     }
+                 });
+}
+
+void collection_watch::note_complete(store_version answered, time_point asked_at) {
+    if (on_complete && now && replica_.has_state() && replica_.version() >= answered) {
+        on_complete(asked_at);
+    }
 }
 
 void collection_watch::discard_newer_state(store_version answered) {
@@ -174,7 +185,7 @@
     replica_.discard();
 }
 
-void collection_watch::on_watch_answer(store_version from, const store_answer& answer) {
+void collection_watch::on_watch_answer(store_version from, time_point asked_at, const store_answer& answer) {
     if (answer.outcome == store_outcome::history_lost) {
         log_.write(log_level::info, "metadata", "history_lost",
                    {{"collection", to_string(collection_)},
@@ -208,6 +219,7 @@
     if (alive.expired()) {
         return;
     }
+    note_complete(answered, asked_at);
     if (answer.events.empty() || settings_.event_pause == duration(0)) {
         watch();
         return;
--- a/gentianhill/metadata/collection_watch.h
+++ b/gentianhill/metadata/collection_watch.h
@@ -50,6 +50,9 @@
     std::function<void(const std::vector<stored_object>&)> on_list;
     /// Called for each change of an object.
     std::function<void(const store_event&)> on_event;
+    /// Called when the replica is known to hold all changes that were made before `asked_at`, the time of the
+    /// call that showed it; may be empty. Requires `now`.
+    std::function<void(time_point asked_at)> on_complete;
     /// Called when the store becomes reachable (true) or unreachable (false).
     std::function<void(bool reachable)> on_reachable;
 
@@ -77,12 +80,16 @@
 
 private:
     void list(const std::string& after);
+    /// Time of a call that is about to be made.
+    [[nodiscard]] time_point call_time() const { return now ? now() : time_point{}; }
+    /// Reports that the replica is complete as of `asked_at`, if its state is at least as new as `answered`.
+    void note_complete(store_version answered, time_point asked_at);
     void on_list_answer(const store_answer& answer);
     void on_complete_list();
     /// Replaces the state by the complete list, unless that is older.
     void apply_list();
     void watch();
-    void on_watch_answer(store_version from, const store_answer& answer);
+    void on_watch_answer(store_version from, time_point asked_at, const store_answer& answer);
     /// Replaces a state that is newer than the answer of the store which it came from.
     void discard_newer_state(store_version answered);
     void resume();
@@ -104,8 +111,9 @@
     std::vector<stored_object> page_items_;
     /// Version as of which the pages received so far are complete.
     store_version page_version_;
-    /// Version of the replica when the list was begun.
+    /// Version of the replica when the list was begun, and the time of that.
     store_version listed_from_;
+    time_point list_asked_at_;
     bool has_page_ = false;
     /// The list in progress may be old.
     bool list_may_be_old_ = false;
--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -1,5 +1,6 @@
 #include "gentianhill/proxy/client_session.h"
 
+#include "gentianhill/proxy/caller_refusal.h"
 #include "gentianhill/proxy/proxy_instance.h"
 
 #include <algorithm>
@@ -25,11 +26,30 @@
     return outcome >= statement_outcome::busy && outcome <= statement_outcome::denied;
 }
 
+std::string_view team_name(const std::shared_ptr<const team>& caller) {
+    return caller != nullptr ? std::string_view(caller->name) : std::string_view{};
+}
+
+/// True for statements that run at an instance, or begin a transaction there.
+bool needs_instance(statement_kind kind) {
+    switch (kind) {
+    case statement_kind::begin:
+    case statement_kind::begin_read:
+    case statement_kind::commit:
+    case statement_kind::read:
+    case statement_kind::write:
+    case statement_kind::execute:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
-client_session::client_session(std::string database, const session_environment& environment, logger& log,
-                               proxy_counters& counters)
-    : database_(std::move(database)), environment_(environment), log_(log), counters_(counters) {}
+client_session::client_session(std::string database, std::optional<key_digest> key,
+                               const session_environment& environment, logger& log, proxy_counters& counters)
+    : database_(std::move(database)), key_(key), environment_(environment), log_(log), counters_(counters) {}
 
 client_session::~client_session() {
     if (task_) {
@@ -82,15 +102,7 @@
     if (environment_.accepts_statements()) {
         return false;
     }
-    switch (next.kind) {
-    case statement_kind::begin:
-    case statement_kind::begin_read:
-    case statement_kind::commit:
-    case statement_kind::read:
-    case statement_kind::write:
-    case statement_kind::execute:
-        break;
-    default:
+    if (!needs_instance(next.kind)) {
         return false;
     }
     if (!transaction_) {
@@ -109,8 +121,48 @@
     return true;
 }
 
+bool client_session::refuse_caller(const statement& next) {
+    if (!needs_instance(next.kind) || (transaction_ && transaction_->failed)) {
+        return false;
+    }
+    const std::shared_ptr<const route> used =
+        transaction_ ? transaction_->selected_route : environment_.find_route(database_);
+    if (used == nullptr || !environment_.check_caller) {
+        return false;
+    }
+    caller_check check = environment_.check_caller(*used, key_, received_at_);
+    if (check.verdict == caller_verdict::allowed) {
+        if (!transaction_ || transaction_->connection == nullptr) {
+            caller_ = check.caller;
+            return false;
+        }
+        if (team_name(check.caller) == team_name(caller_)) {
+            return false;
+        }
+        // The connection of the transaction belongs to the team that held the key before.
+        check.verdict = caller_verdict::denied;
+    }
+    counters_.callers_refused.add();
+    const bool in_transaction = transaction_.has_value();
+    if (in_transaction) {
+        release_pinned();
+        transaction_->failed = true;
+        if (next.kind == statement_kind::commit) {
+            transaction_.reset();
+        }
+    }
+    answer_failure(caller_refusal(check.verdict, in_transaction), caller_detail(check.verdict));
+    return true;
+}
+
+bool client_session::may_stay() const {
+    const std::shared_ptr<const route> used = environment_.find_route(database_);
+    return used == nullptr || !environment_.check_caller ||
+           environment_.check_caller(*used, key_, environment_.now()).verdict != caller_verdict::denied;
+}
+
 void client_session::run(const statement& next) {
-    if (refuse_while_stopping(next)) {
+    if (refuse_while_stopping(next) || refuse_caller(next)) {
         return;
     }
     if (transaction_ && transaction_->rollback_unreported && next.kind != statement_kind::commit &&
@@ -275,6 +327,7 @@
     request.session_position = position_;
     request.fresh_after = fresh_after_;
     request.fits = environment_.fits;
+    request.team = team_name(caller_);
     if (transaction_) {
         request.selected_route = transaction_->selected_route;
         request.begin_id = transaction_->begin_id;
@@ -288,6 +341,31 @@
 }
 
 void client_session::run_unpinned(const statement& next) {
+    if (caller_ == nullptr || !caller_->rate || !environment_.quota.admit) {
+        start_unpinned(next);
+        return;
+    }
+    // Whichever comes first answers the statement: the quota, or give_up().
+    awaiting_admission_ = ++admissions_;
+    environment_.quota.admit(
+        caller_, [this, number = admissions_, alive = std::weak_ptr<bool>(alive_)](bool admitted) {
+            if (!alive.expired() && awaiting_admission_ == number) {
+                awaiting_admission_.reset();
+                on_admission(admitted);
+            }
+        });
+}
+
+void client_session::on_admission(bool admitted) {
+    if (admitted) {
+        start_unpinned(current_);
+        return;
+    }
+    answer_failure(transaction_ ? statement_outcome::aborted : statement_outcome::busy,
+                   "the team's limit is reached");
+}
+
+void client_session::start_unpinned(const statement& next) {
     statement_task::request request = make_request(next);
     database_group* group = transaction_ ? transaction_->group : nullptr;
     group_name_ = group != nullptr ? group->name() : group_name_;
@@ -304,6 +382,16 @@
             return;
         }
     }
+    if (environment_.check_caller) {
+        // A caller that has moved to another team meanwhile must not use a connection of the former one.
+        request.check_caller = [check = environment_.check_caller, used = request.selected_route, key = key_,
+                                received_at = received_at_, named = request.team] {
+            const caller_check result = check(*used, key, received_at);
+            return result.verdict == caller_verdict::allowed && team_name(result.caller) != named
+                       ? caller_verdict::denied
+                       : result.verdict;
+        };
+    }
     task_ = std::make_shared<statement_task>(
         *group, std::move(request),
         [this, alive = std::weak_ptr<bool>(alive_)](statement_result& result, pooled_connection* connection) {
@@ -375,6 +463,9 @@
 }
 
 void client_session::send_pinned(const statement& next) {
+    if (refuse_caller(next)) {
+        return;
+    }
     ++pinned_attempts_;
     sent_at_ = environment_.now();
     const std::string shared_name =
@@ -572,6 +663,9 @@
     if (task_) {
         const std::shared_ptr<statement_task> running = task_;
         running->give_up(detail);
+    } else if (awaiting_admission_) {
+        awaiting_admission_.reset();
+        answer_failure(transaction_ ? statement_outcome::aborted : statement_outcome::busy, detail);
     } else if (confirming_) {
         give_up_confirming();
     } else if (transaction_ && transaction_->connection != nullptr) {
--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -4,9 +4,12 @@
 #include "gentianhill/core/time.h"
 #include "gentianhill/proxy/database_group.h"
 #include "gentianhill/proxy/statement_task.h"
+#include "gentianhill/quota/quota_port.h"
 #include "gentianhill/routing/route_table.h"
 #include "gentianhill/session/session_state.h"
 #include "gentianhill/session/statement.h"
+#include "gentianhill/teams/caller_check.h"
+#include "gentianhill/teams/key_digest.h"
 
 #include <cstdint>
 #include <deque>
@@ -21,6 +24,13 @@
 struct session_environment {
     /// Returns the route of a database, or null when there is none.
     std::function<std::shared_ptr<const route>(const std::string& database)> find_route;
+    /// Checks whether a caller with a key, or without one, may run a statement on a route that it sent at
+    /// `received_at` or before.
+    std::function<caller_check(const route& used, const std::optional<key_digest>& key,
+                               time_point received_at)>
+        check_caller;
+    /// Admits the operations of teams that have a limit.
+    quota_port quota;
     /// Returns a route's database group, or null when the group is unknown.
     std::function<database_group*(const std::string& group)> find_group;
     /// Idle time after which a transaction is rolled back; zero disables the limit.
@@ -37,8 +47,8 @@
 class client_session {
 public:
     /// `environment`, `log` and `counters` must outlive the session.
-    client_session(std::string database, const session_environment& environment, logger& log,
-                   proxy_counters& counters);
+    client_session(std::string database, std::optional<key_digest> key,
+                   const session_environment& environment, logger& log, proxy_counters& counters);
     ~client_session();
     client_session(const client_session&) = delete;
     client_session& operator=(const client_session&) = delete;
@@ -57,6 +67,8 @@
     void give_up(std::string_view detail);
     /// True when no statement is running or queued and no transaction is open.
     [[nodiscard]] bool is_idle() const { return !busy_ && queue_.empty() && !transaction_; }
+    /// False once no team holds the caller's key any more.
+    [[nodiscard]] bool may_stay() const;
     /// True while a statement is running or queued.
     [[nodiscard]] bool has_unanswered() const { return busy_ || !queue_.empty(); }
 
@@ -84,6 +96,8 @@
     void run(const statement& next);
     /// Refuses a statement that must not run because the daemon stops; false if it may run.
     [[nodiscard]] bool refuse_while_stopping(const statement& next);
+    /// Refuses a statement that the caller's key does not allow; false if it may run.
+    [[nodiscard]] bool refuse_caller(const statement& next);
     void give_up_pinned(std::string_view detail);
     void give_up_confirming();
     void run_local(const statement& next);
@@ -92,7 +106,10 @@
     void run_remote(const statement& next);
     /// True if the statement can be sent to an instance under its shared name.
     [[nodiscard]] bool fits_message(const statement& next) const;
+    /// Runs a statement that is not pinned to a connection once the quota of the caller's team admits it.
     void run_unpinned(const statement& next);
+    void on_admission(bool admitted);
+    void start_unpinned(const statement& next);
     void run_pinned(const statement& next);
     void send_pinned(const statement& next);
     void on_unpinned_result(statement_result& result, pooled_connection* connection);
@@ -113,6 +130,10 @@
     [[nodiscard]] statement_task::request make_request(const statement& next) const;
 
     std::string database_;
+    /// Key that the client has stated; nothing when it has stated none.
+    std::optional<key_digest> key_;
+    /// Team of the caller as of its last check; null when it has none.
+    std::shared_ptr<const team> caller_;
     /// Group of the last statement that used one, for logging.
     std::string group_name_;
     const session_environment& environment_;
@@ -122,6 +143,10 @@
     std::deque<statement> queue_;
     std::optional<open_transaction> transaction_;
     std::shared_ptr<statement_task> task_;
+    /// Request to the quota that is not answered yet; `admissions_` numbers them, so that a late answer to an
+    /// earlier one is ignored.
+    std::optional<std::uint64_t> awaiting_admission_;
+    std::uint64_t admissions_ = 0;
     /// Running statement.
     statement current_;
     time_point received_at_;
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -83,6 +83,8 @@
     : statements(registry.add_counter("gentianhill_statements_total", "Statements answered.")),
       refused(
           registry.add_counter("gentianhill_statements_refused_total", "Statements answered as not run.")),
+      callers_refused(registry.add_counter("gentianhill_callers_refused_total",
+                                           "Sessions and statements refused because of the caller's key.")),
       in_doubt(
           registry.add_counter("gentianhill_statements_in_doubt_total", "Changes with unknown outcome.")),
       repeated(registry.add_counter("gentianhill_attempts_repeated_total", "Attempts that were repeated.")),
@@ -243,7 +245,7 @@
     }
     last_trust_use_ = now();
     if (!instance->is_usable()) {
-        static_cast<void>(instance->open_more(1));
+        static_cast<void>(instance->open_more(1, query.team));
         return {nullptr, std::nullopt, placement_wait::no_primary};
     }
     // The outcome of a write would be in doubt.
@@ -309,12 +311,12 @@
             continue;
         }
         if (!instance.is_usable()) {
-            static_cast<void>(instance.open_more(1));
+            static_cast<void>(instance.open_more(1, query.team));
             continue;
         }
         const bool full = instance.in_flight() >= instance.limits().max_in_flight ||
-                          (!instance.has_idle() && !instance.open_more(1));
-        const double total_cost = cost(instance, min_position) + (full ? 1000.0 : 0.0);
+                          (!instance.has_idle(query.team) && !instance.open_more(1, query.team));
+        const double total_cost = cost(instance, min_position, query.team) + (full ? 1000.0 : 0.0);
         const bool is_excluded = std::find(query.excluded_instances->begin(), query.excluded_instances->end(),
                                            entry.first) != query.excluded_instances->end();
         if (is_excluded) {
@@ -330,12 +332,13 @@
     return best != nullptr ? best : best_excluded;
 }
 
-double database_group::cost(const proxy_instance& instance, const log_position& min_position) const {
+double database_group::cost(const proxy_instance& instance, const log_position& min_position,
+                            std::string_view team) const {
     double expected_cost = instance.expected_ms();
     if (instance.listed().zone != settings_.zone) {
         expected_cost += settings_.other_zone_ms;
     }
-    if (!instance.has_idle()) {
+    if (!instance.has_idle(team)) {
         expected_cost += settings_.opening_ms;
     }
     if (!instance.position() || *instance.position() < min_position) {
@@ -349,9 +352,13 @@
 
 placement database_group::take_connection(proxy_instance& instance, const placement_query& query,
                                           std::optional<log_position> min_position) {
-    pooled_connection* connection = instance.take(*query.session);
+    pooled_connection* connection = instance.take(*query.session, query.team);
     if (connection == nullptr) {
-        static_cast<void>(instance.open_more(waiting_.size() + 1));
+        const std::ptrdiff_t waiting_for_team =
+            std::count_if(waiting_.begin(), waiting_.end(), [&](const std::shared_ptr<statement_task>& task) {
+                return task->task_request().team == query.team;
+            });
+        static_cast<void>(instance.open_more(static_cast<std::size_t>(waiting_for_team) + 1, query.team));
         return {nullptr, std::nullopt, placement_wait::no_connection};
     }
     return {connection, min_position, placement_wait::none};
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -55,6 +55,7 @@
 
     counter& statements;
     counter& refused;
+    counter& callers_refused;
     counter& in_doubt;
     counter& repeated;
     counter& second_reads;
@@ -200,7 +201,8 @@
     [[nodiscard]] placement place_at_primary(const placement_query& query);
     [[nodiscard]] placement place_read(const placement_query& query);
     [[nodiscard]] proxy_instance* choose(const placement_query& query, const log_position& min_position);
-    [[nodiscard]] double cost(const proxy_instance& instance, const log_position& min_position) const;
+    [[nodiscard]] double cost(const proxy_instance& instance, const log_position& min_position,
+                              std::string_view team) const;
     [[nodiscard]] placement take_connection(proxy_instance& instance, const placement_query& query,
                                             std::optional<log_position> min_position);
     void on_answered(proxy_instance& instance, command_kind kind, time_point sent_at,
--- a/gentianhill/proxy/instance_link.h
+++ b/gentianhill/proxy/instance_link.h
@@ -110,9 +110,10 @@
 
 /// Opens connections to instances.
 struct instance_network {
-    /// Opens a connection to an address; the instance there must have the given group and id.
+    /// Opens a connection to an address; the instance there must have the given group and id. It is told the
+    /// team that the connection serves; an empty name stands for the proxy itself.
     std::function<std::unique_ptr<instance_link>(const endpoint& address, const std::string& group,
-                                                 const std::string& id)>
+                                                 const std::string& team, const std::string& id)>
         open;
     /// True if a command is short enough to be sent. Without this hook all commands are.
     std::function<bool(const instance_command& command)> fits;
--- a/gentianhill/proxy/placement.h
+++ b/gentianhill/proxy/placement.h
@@ -53,6 +53,8 @@
     std::optional<log_position> session_position;
     time_point fresh_after;
     const session_state* session = nullptr;
+    /// Team of the caller, which the connection has to belong to; empty for a caller without one.
+    std::string_view team;
     /// Instances that have failed this statement or already run it; used only if no other can serve it.
     const std::vector<std::string>* excluded_instances = nullptr;
 };
--- a/gentianhill/proxy/pooled_connection.h
+++ b/gentianhill/proxy/pooled_connection.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace gentianhill {
@@ -22,7 +24,8 @@
 public:
     using answer_handler = std::function<void(instance_answer& answer)>;
 
-    pooled_connection(proxy_instance& owner, std::uint64_t number) : owner_(owner), number_(number) {}
+    pooled_connection(proxy_instance& owner, std::uint64_t number, std::string team)
+        : owner_(owner), number_(number), team_(std::move(team)) {}
 
     /// Sends a command; `done` receives the answer and is not called if the connection ends first.
     void send(const instance_command& command, answer_handler done);
@@ -30,6 +33,8 @@
     [[nodiscard]] proxy_instance& owner() const { return owner_; }
     /// Number of the connection, unique within the process.
     [[nodiscard]] std::uint64_t number() const { return number_; }
+    /// Team that the instance was told when the connection was opened; empty for the proxy itself.
+    [[nodiscard]] const std::string& team() const { return team_; }
     /// True after the instance has accepted the connection, until it ends.
     [[nodiscard]] bool is_open() const { return open_; }
     /// True while a statement or transaction uses it.
@@ -82,6 +87,7 @@
 
     proxy_instance& owner_;
     std::uint64_t number_;
+    std::string team_;
     std::unique_ptr<instance_link> link_;
     std::deque<pending_command> pending_;
     answer_history history_;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -1,5 +1,7 @@
 #include "gentianhill/proxy/proxy.h"
 
+#include "gentianhill/proxy/caller_refusal.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -38,6 +40,12 @@
 /// Age of a source's state beyond the duration of one long poll at which the source counts as stale.
 constexpr duration state_age_margin = 1500ms;
 
+/// Long polls of the configuration last this share of the time for which a key may be used after it was taken
+/// away.
+constexpr double key_poll_share = 0.12;
+/// Clients are to turn to another daemon when the configuration is older than this share of that time.
+constexpr double key_readiness_share = 0.6;
+
 /// Wraps a handler so that it does nothing once the proxy has been destroyed.
 template <typename... argument_types>
 std::function<void(argument_types...)> guarded(const std::weak_ptr<bool>& alive,
@@ -119,9 +127,24 @@
     return result;
 }
 
+/// Duration of a long poll for what the keys of callers depend on. Each of the two hops, from the store and
+/// from another daemon, may add twice this to the age of the configuration.
+duration key_poll_wait(const proxy_settings& settings, duration usual) {
+    const double share = static_cast<double>(settings.key_lease.count()) * key_poll_share;
+    return settings.key_lease > duration(0) ? std::min(usual, duration(static_cast<std::int64_t>(share)))
+                                            : usual;
+}
+
+collection_watch_settings configuration_watch(const proxy_settings& settings) {
+    collection_watch_settings result = settings.watch;
+    result.wait = key_poll_wait(settings, settings.watch.wait);
+    return result;
+}
+
 state_relay_settings relay_settings(const proxy_settings& settings) {
     state_relay_settings result = settings.relay;
-    result.selection.max_age = settings.watch.wait + state_age_margin;
+    result.poll_wait = key_poll_wait(settings, settings.relay.poll_wait);
+    result.selection.max_age = key_poll_wait(settings, settings.watch.wait) + state_age_margin;
     result.watch_min_pause = settings.watch.min_pause;
     result.watch_max_pause = settings.watch.max_pause;
     return result;
@@ -135,7 +158,8 @@
       ports_(guard_ports(std::move(ports), alive_, store_calls_)),
       log_(log),
       counters_(registry),
-      configuration_watch_(store_collection::configuration, ports_.store, log, settings.watch),
+      key_lease_(settings.key_lease),
+      configuration_watch_(store_collection::configuration, ports_.store, log, configuration_watch(settings)),
       instance_watch_(store_collection::instances, ports_.store, log, instance_watch(settings.watch)),
       duty_watch_(store_collection::duties, ports_.store, log, slow_watch(settings.watch)),
       daemon_watch_(store_collection::proxies, ports_.store, log, daemon_watch(settings.watch)),
@@ -159,6 +183,9 @@
     relay_.configuration_version = [this] { return routes_.current() ? routes_.current()->version : 0; };
     relay_.configuration = [this] { return configuration_in_effect_ ? &*configuration_in_effect_ : nullptr; };
     relay_.on_configuration = [this](const stored_object& object) { on_configuration_object(object); };
+    relay_.configuration_confirmed_at = [this] { return key_lease_.confirmed_at(); };
+    relay_.on_configuration_confirmed = [this](time_point moment) { key_lease_.confirm(moment); };
+    configuration_watch_.on_complete = [this](time_point asked_at) { key_lease_.confirm(asked_at); };
     evidence_.now = ports_.now;
     settings_.group.zone = settings.zone;
     for (collection_watch* watch : {&configuration_watch_, &instance_watch_, &duty_watch_, &daemon_watch_}) {
@@ -211,6 +238,10 @@
                                              const member_record::members_handler& done) {
         member_records_.at(group_name)->read(done);
     };
+    environment_.check_caller = [this](const route& used, const std::optional<key_digest>& key,
+                                       time_point received_at) {
+        return check_caller(used, key, received_at);
+    };
     environment_.find_route = [this](const std::string& database) { return routes_.find(database); };
     environment_.find_group = [this](const std::string& name) -> database_group* {
         const auto found = groups_.find(name);
@@ -468,9 +499,17 @@
     }
     const std::uint64_t version = configuration->version;
     const std::size_t routes = configuration->routes.size();
+    if (configuration->teams == nullptr && routes_.current() && routes_.current()->teams != nullptr) {
+        // A configuration without teams must not open all routes to everybody.
+        configuration->teams = std::make_shared<team_directory>();
+    }
+    const std::size_t teams = configuration->teams != nullptr ? configuration->teams->teams().size() : 0;
     const bool applied = routes_.apply(std::move(*configuration));
     log_.write(log_level::info, "proxy", applied ? "configuration_applied" : "configuration_ignored",
-               {{"version", version}, {"in_effect", routes_.current()->version}, {"routes", routes}});
+               {{"version", version},
+                {"in_effect", routes_.current()->version},
+                {"routes", routes},
+                {"teams", teams}});
     if (applied) {
         configuration_in_effect_ = object;
         apply_group_limits();
@@ -550,15 +589,55 @@
                    });
 }
 
-std::unique_ptr<client_session> proxy::open_session(const std::string& database) {
-    if (routes_.find(database) == nullptr) {
+caller_check proxy::check_caller(const route& used, const std::optional<key_digest>& key,
+                                 time_point received_at) const {
+    const std::shared_ptr<const team_directory>& teams = routes_.current()->teams;
+    if (teams == nullptr) {
+        return {caller_verdict::allowed, nullptr};
+    }
+    const std::shared_ptr<const team> caller = key ? teams->find(*key) : nullptr;
+    if (used.is_public) {
+        return {caller_verdict::allowed, caller};
+    }
+    const bool is_current = key_lease_.covers(received_at);
+    if (caller != nullptr) {
+        return {is_current ? caller_verdict::allowed : caller_verdict::unknown, caller};
+    }
+    // The key may have been added to a configuration that has not arrived.
+    const bool may_be_added = !is_current || !relay_.is_store_reachable();
+    return {may_be_added ? caller_verdict::unknown : caller_verdict::denied, nullptr};
+}
+
+bool proxy::can_check_keys() const {
+    if (!key_lease_.is_limited() || routes_.current()->teams == nullptr) {
+        return true;
+    }
+    const std::optional<time_point>& confirmed = key_lease_.confirmed_at();
+    const double limit = static_cast<double>(settings_.key_lease.count()) * key_readiness_share;
+    return confirmed && ports_.now() - *confirmed <= duration(static_cast<std::int64_t>(limit));
+}
+
+std::unique_ptr<client_session> proxy::open_session(const std::string& database, std::string_view key,
+                                                    statement_outcome& refusal) {
+    const std::shared_ptr<const route> used = routes_.find(database);
+    if (used == nullptr) {
+        refusal = statement_outcome::unknown_database;
+        return nullptr;
+    }
+    const std::optional<key_digest> digest = key.empty() ? std::nullopt : std::optional<key_digest>(key);
+    const caller_verdict verdict = check_caller(*used, digest, ports_.now()).verdict;
+    if (verdict != caller_verdict::allowed) {
+        refusal = caller_refusal(verdict, false);
+        log_.write(log_level::info, "teams", "session_refused",
+                   {{"database", database}, {"verdict", to_string(verdict)}, {"has_key", !key.empty()}});
+        counters_.callers_refused.add();
         return nullptr;
     }
-    return std::make_unique<client_session>(database, environment_, log_, counters_);
+    return std::make_unique<client_session>(database, digest, environment_, log_, counters_);
 }
 
 bool proxy::is_ready() const {
-    if (stop_.is_requested() || !routes_.current()) {
+    if (stop_.is_requested() || !routes_.current() || !can_check_keys()) {
         return false;
     }
     return std::any_of(
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -18,6 +18,7 @@
 #include "gentianhill/relay/zone_evidence.h"
 #include "gentianhill/routing/instance_catalog.h"
 #include "gentianhill/routing/route_table.h"
+#include "gentianhill/teams/key_lease.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,6 +27,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace gentianhill {
@@ -40,6 +42,9 @@
     std::string incarnation;
     /// Minimum number of daemons among which the connections of an instance are divided.
     std::size_t assumed_daemons = 4;
+    /// Time for which a key may be used after it was taken away; zero when only the configuration in effect
+    /// counts.
+    duration key_lease{0};
     /// Time allowed for a graceful shutdown.
     duration grace = std::chrono::seconds(6);
     database_group_settings group;
@@ -99,11 +104,14 @@
     /// Answers a request of another daemon.
     void on_relay_request(relay_request_kind kind, const nlohmann::json& message,
                           relay_answer_handler respond);
-    /// Opens a session; null when the database has no route. Requires has_configuration().
-    [[nodiscard]] std::unique_ptr<client_session> open_session(const std::string& database);
+    /// Opens a session for a client that has stated a key, which may be empty; null when that is refused, and
+    /// `refusal` says why. Requires has_configuration().
+    [[nodiscard]] std::unique_ptr<client_session>
+    open_session(const std::string& database, std::string_view key, statement_outcome& refusal);
     /// True once a configuration is in effect.
     [[nodiscard]] bool has_configuration() const { return routes_.current().has_value(); }
-    /// Called after a configuration has taken effect, for sessions that wait for the first one.
+    /// Called after a configuration has taken effect, for sessions that wait for the first one and those
+    /// whose key it has taken away.
     std::function<void()> on_configuration_applied;
     /// True when the daemon accepts new clients.
     [[nodiscard]] bool is_ready() const;
@@ -129,6 +137,12 @@
     void on_configuration_object(const stored_object& object);
     void on_instance_changed(const listed_instance& listed);
     void on_evidence_request(const nlohmann::json& message, const relay_answer_handler& respond);
+    /// Checks whether a caller may use a route.
+    [[nodiscard]] caller_check check_caller(const route& used, const std::optional<key_digest>& key,
+                                            time_point received_at) const;
+    /// True while the keys of callers can be checked for long enough that clients need not turn to another
+    /// daemon.
+    [[nodiscard]] bool can_check_keys() const;
     void apply_group_limits();
     /// Applies the ranks of this daemon among all, which decide who probes, promotes and records first.
     void apply_ranks();
@@ -162,6 +176,7 @@
     logger& log_;
     proxy_counters counters_;
     route_table routes_;
+    key_lease key_lease_;
     /// Object of the configuration in effect, for daemons that lack it.
     std::optional<stored_object> configuration_in_effect_;
     instance_catalog catalog_;
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -74,21 +74,23 @@
         }));
 }
 
-bool proxy_instance::has_idle() const {
+bool proxy_instance::has_idle(std::string_view team) const {
     return std::any_of(connections_.begin(), connections_.end(),
-                       [](const std::unique_ptr<pooled_connection>& connection) {
-                           return connection->open_ && !connection->used_ && !connection->is_resting();
+                       [team](const std::unique_ptr<pooled_connection>& connection) {
+                           return connection->open_ && !connection->used_ && !connection->is_resting() &&
+                                  connection->team() == team;
                        });
 }
 
-pooled_connection* proxy_instance::take(const session_state& session) {
+pooled_connection* proxy_instance::take(const session_state& session, std::string_view team) {
     if (in_flight() >= settings_.max_in_flight) {
         return nullptr;
     }
     pooled_connection* best = nullptr;
     pooled_connection* after_error = nullptr;
     for (const std::unique_ptr<pooled_connection>& connection : connections_) {
-        if (!connection->open_ || connection->used_ || connection->is_resting()) {
+        if (!connection->open_ || connection->used_ || connection->is_resting() ||
+            connection->team() != team) {
             continue;
         }
         if (connection->may_repeat_error()) {
@@ -108,27 +110,51 @@
     return best;
 }
 
-bool proxy_instance::open_more(std::size_t wanted) {
+bool proxy_instance::open_more(std::size_t wanted, std::string_view team) {
     std::size_t opening = 0;
+    std::size_t opening_for_team = 0;
     for (const std::unique_ptr<pooled_connection>& connection : connections_) {
         opening += connection->open_ ? 0U : 1U;
+        opening_for_team += !connection->open_ && connection->team() == team ? 1U : 0U;
     }
     const time_point current = now();
-    while (opening < std::min(wanted, settings_.max_opening) &&
-           connections_.size() < settings_.max_connections && current >= next_open_at_) {
-        connections_.push_back(open());
+    while (opening_for_team < wanted && opening < settings_.max_opening && current >= next_open_at_) {
+        if (connections_.size() >= settings_.max_connections) {
+            // A statement that waits may take the room as soon as the connection is closed.
+            if (!close_idle_of_other_team(team) || connections_.size() >= settings_.max_connections) {
+                break;
+            }
+        }
+        connections_.push_back(open(team));
         ++opening;
+        ++opening_for_team;
     }
-    return opening > 0;
+    return opening_for_team > 0;
+}
+
+bool proxy_instance::close_idle_of_other_team(std::string_view team) {
+    pooled_connection* oldest = nullptr;
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        const bool is_candidate = connection->open_ && !connection->used_ && !connection->has_unanswered() &&
+                                  connection->team() != team;
+        if (is_candidate && (oldest == nullptr || connection->last_used_ < oldest->last_used_)) {
+            oldest = connection.get();
+        }
+    }
+    if (oldest == nullptr) {
+        return false;
+    }
+    drop(*oldest, disconnect_reason::closed_locally);
+    return true;
 }
 
-std::unique_ptr<pooled_connection> proxy_instance::open() {
+std::unique_ptr<pooled_connection> proxy_instance::open(std::string_view team) {
     std::unique_ptr<pooled_connection> connection =
-        std::make_unique<pooled_connection>(*this, next_connection_number());
+        std::make_unique<pooled_connection>(*this, next_connection_number(), std::string(team));
     pooled_connection* opened = connection.get();
     opened->opened_at_ = now();
     opened->last_used_ = opened->opened_at_;
-    opened->link_ = network_.open(listed_.address, listed_.group, listed_.id);
+    opened->link_ = network_.open(listed_.address, listed_.group, opened->team(), listed_.id);
     opened->link_->on_open = [this, opened](const statement_result& startup_result) {
         on_opened(*opened, startup_result);
     };
@@ -400,7 +426,7 @@
         } else if (now() < next_open_at_) {
             return nullptr;
         } else {
-            control_ = open();
+            control_ = open("");
         }
     }
     control_->last_used_ = now();
@@ -424,7 +450,7 @@
         if (now() < next_open_at_) {
             return nullptr;
         }
-        single_use_ = open();
+        single_use_ = open("");
     }
     return single_use_->open_ && !single_use_->has_unanswered() ? single_use_.get() : nullptr;
 }
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace gentianhill {
@@ -77,10 +78,11 @@
     [[nodiscard]] const instance_pool_settings& limits() const { return settings_; }
 
     /// Takes an idle connection, preferring one that already has the session's values, and one on which no
-    /// error could be repeated; null when there is none or the limit of statements in flight is reached.
-    [[nodiscard]] pooled_connection* take(const session_state& session);
-    /// Opens connections until `wanted` are being opened, within the limits; true when any is being opened.
-    bool open_more(std::size_t wanted);
+    /// error could be repeated; null when the team has none or the limit of statements in flight is reached.
+    [[nodiscard]] pooled_connection* take(const session_state& session, std::string_view team);
+    /// Opens connections for a team until `wanted` are being opened for it, within the limits; true when any
+    /// is being opened. Closes an idle connection of another team where the limit leaves no room.
+    bool open_more(std::size_t wanted, std::string_view team);
     /// Returns a connection to the pool. Closes it instead if it has unanswered commands or an open
     /// transaction.
     void return_to_pool(pooled_connection& connection);
@@ -108,8 +110,8 @@
     [[nodiscard]] bool is_usable() const;
     /// True if this run of the instance has sent an answer twice or without a command.
     [[nodiscard]] bool repeats_answers() const { return repeats_answers_; }
-    /// True when an idle connection is available.
-    [[nodiscard]] bool has_idle() const;
+    /// True when an idle connection of the team is available.
+    [[nodiscard]] bool has_idle(std::string_view team) const;
     /// Estimated response time of a statement sent now, in ms.
     [[nodiscard]] double expected_ms() const;
     /// Highest log position reported by the instance.
@@ -137,7 +139,10 @@
 private:
     friend class pooled_connection;
 
-    std::unique_ptr<pooled_connection> open();
+    std::unique_ptr<pooled_connection> open(std::string_view team);
+    /// Closes the idle connection of another team that was unused for the longest time; false when there is
+    /// none.
+    bool close_idle_of_other_team(std::string_view team);
     /// Idle connection on which a status call may be sent.
     [[nodiscard]] pooled_connection* find_idle() const;
     /// Idle connection on which no status row was received.
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -65,6 +65,10 @@
         make_integer_setting("silence_limit_ms", 4000, 1500, 60'000, "ms",
                              "Time in which a connection to the store that has gone silent must be noticed. "
                              "Longer ones cost fewer calls."));
+    result.push_back(make_integer_setting("key_lease_ms", 0, 0, 600'000, "ms",
+                                          "Time for which a key may be used after it was taken away, also by "
+                                          "daemons that are out of touch with "
+                                          "the store; 0 when only the configuration in effect counts."));
     setting_definition level;
     level.name = "log_level";
     level.type = setting_type::choice;
@@ -123,6 +127,7 @@
     const duration promotion_delay = std::chrono::milliseconds(values.integer("promotion_delay_ms"));
     result.proxy.failover.promotion.trust_wait =
         std::max(result.proxy.group.trust_window - promotion_delay, duration(0)) + trust_margin;
+    result.proxy.key_lease = std::chrono::milliseconds(values.integer("key_lease_ms"));
     const duration silence_limit = std::chrono::milliseconds(values.integer("silence_limit_ms"));
     result.proxy.watch.wait = silence_limit - call_margin;
     // With both sources lost at once, a daemon has another one within the silence limit.
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -1,5 +1,6 @@
 #include "gentianhill/proxy/statement_task.h"
 
+#include "gentianhill/proxy/caller_refusal.h"
 #include "gentianhill/proxy/database_group.h"
 #include "gentianhill/proxy/proxy_instance.h"
 
@@ -65,6 +66,7 @@
     query.session_position = request_.session_position;
     query.fresh_after = request_.fresh_after;
     query.session = request_.session;
+    query.team = request_.team;
     query.excluded_instances = &excluded_instances_;
     return query;
 }
@@ -134,6 +136,9 @@
         send_statement(current);
         return;
     }
+    if (refuse_caller(current)) {
+        return;
+    }
     instance_command command;
     command.kind =
         request_.access == access_kind::transaction ? command_kind::begin : command_kind::begin_read;
@@ -158,7 +163,10 @@
         command.changes_data = request_.writes;
     }
     if (!request_.fits(command)) {
-        refuse_too_large(current);
+        refuse_attempt(current, statement_outcome::too_large, too_large_detail);
+        return;
+    }
+    if (refuse_caller(current)) {
         return;
     }
     current->statement_sent = true;
@@ -166,14 +174,24 @@
                               [this, current](instance_answer& answer) { on_result(current, answer); });
 }
 
-void statement_task::refuse_too_large(const attempt_pointer& current) {
+void statement_task::refuse_attempt(const attempt_pointer& current, statement_outcome outcome,
+                                    std::string_view detail) {
     const std::shared_ptr<statement_task> keep = self_;
     return_connection(current);
     if (!finished_ && attempts_.empty()) {
-        refuse(statement_outcome::too_large, too_large_detail);
+        refuse(outcome, detail);
     }
 }
 
+bool statement_task::refuse_caller(const attempt_pointer& current) {
+    const caller_verdict verdict = request_.check_caller ? request_.check_caller() : caller_verdict::allowed;
+    if (verdict == caller_verdict::allowed) {
+        return false;
+    }
+    refuse_attempt(current, caller_refusal(verdict, is_transaction()), caller_detail(verdict));
+    return true;
+}
+
 void statement_task::on_result(const attempt_pointer& current, instance_answer& answer) {
     const std::shared_ptr<statement_task> keep = self_;
     if (finished_) {
--- a/gentianhill/proxy/statement_task.h
+++ b/gentianhill/proxy/statement_task.h
@@ -6,6 +6,7 @@
 #include "gentianhill/routing/route_table.h"
 #include "gentianhill/session/session_state.h"
 #include "gentianhill/session/statement.h"
+#include "gentianhill/teams/caller_check.h"
 
 #include <cstdint>
 #include <functional>
@@ -43,6 +44,11 @@
         std::optional<log_position> session_position;
         /// A read must be at least as fresh as this time, regardless of the route.
         time_point fresh_after;
+        /// Team of the caller; empty for a caller without one.
+        std::string team;
+        /// Checks whether the caller's key allows the statement, right before it is sent; empty when callers
+        /// need no key.
+        std::function<caller_verdict()> check_caller;
         /// True if a command is short enough to be sent.
         std::function<bool(const instance_command& command)> fits;
     };
@@ -84,9 +90,10 @@
     void set_up(const attempt_pointer& current);
     void begin(const attempt_pointer& current);
     void send_statement(const attempt_pointer& current);
-    /// Ends an attempt whose statement is too long with its position, and the task unless another attempt
-    /// runs.
-    void refuse_too_large(const attempt_pointer& current);
+    /// Ends an attempt whose statement may not be sent, and the task unless another attempt runs.
+    void refuse_attempt(const attempt_pointer& current, statement_outcome outcome, std::string_view detail);
+    /// Ends an attempt whose caller may not use the route any more; false if it may.
+    [[nodiscard]] bool refuse_caller(const attempt_pointer& current);
     void on_result(const attempt_pointer& current, instance_answer& answer);
     /// Answers an acknowledged write once its instance is confirmed to have been the primary at that time.
     void confirm(const attempt_pointer& current, statement_result result);
--- a/gentianhill/relay/relay_messages.cpp
+++ b/gentianhill/relay/relay_messages.cpp
@@ -174,6 +174,9 @@
                          {"age_us", clamp(age)},
                          {"has_news", has_news},
                          {"is_behind", is_behind}};
+    if (configuration_age) {
+        value["configuration_age_us"] = clamp(*configuration_age);
+    }
     nlohmann::json collections = nlohmann::json::object();
     for (const std::map<store_collection, collection_update>::value_type& entry : updates) {
         collections[std::string(to_string(entry.first))] = update_to_json(entry.second);
@@ -194,6 +197,11 @@
     answer.store_reachable = reader.boolean("store_reachable", false);
     answer.age = read_duration(reader, "age_us");
     answer.has_news = reader.boolean("has_news", false);
+    const std::optional<std::int64_t> configuration_age =
+        reader.optional_integer("configuration_age_us", 0, max_duration.count());
+    if (configuration_age) {
+        answer.configuration_age = duration(*configuration_age);
+    }
     answer.is_behind = reader.boolean("is_behind", false);
     const nlohmann::json& updates = reader.any("updates");
     for (const store_collection collection : all_collections) {
--- a/gentianhill/relay/relay_messages.h
+++ b/gentianhill/relay/relay_messages.h
@@ -62,6 +62,9 @@
     /// Configuration in effect, when the receiver wants it and no update holds it. It may be newer than the
     /// store's, which may have been restored from a copy.
     std::optional<stored_object> configuration;
+    /// Time since a moment as of which the receiver's configuration is complete once it has applied this
+    /// answer, when the answer was made; nothing when that is not known.
+    std::optional<duration> configuration_age{};
 
     [[nodiscard]] nlohmann::json to_json() const;
     /// Errors: those of object_reader; out_of_range for more objects than an answer may hold.
--- a/gentianhill/relay/state_relay.cpp
+++ b/gentianhill/relay/state_relay.cpp
@@ -278,6 +278,9 @@
     if (answer.store_reachable) {
         note_heard(asked_at - answer.age);
     }
+    if (answer.configuration_age && on_configuration_confirmed) {
+        on_configuration_confirmed(asked_at - *answer.configuration_age);
+    }
     if (answer.configuration && on_configuration) {
         log_.write(log_level::info, "relay", "configuration_received", {{"daemon", answer.daemon}});
         on_configuration(*answer.configuration);
@@ -467,6 +470,7 @@
         }
         answer.updates.emplace(watch->collection(), std::move(update));
     }
+    answer.configuration_age = configuration_age_for(request, answer);
     const stored_object* in_effect = configuration ? configuration() : nullptr;
     if (in_effect != nullptr && request.configuration_version &&
         *request.configuration_version < configuration_version() &&
@@ -476,6 +480,24 @@
     return answer;
 }
 
+std::optional<duration> state_relay::configuration_age_for(const state_request& request,
+                                                           const state_answer& answer) const {
+    const collection_watch& first = *watches_.front();
+    const std::optional<time_point> confirmed =
+        configuration_confirmed_at ? configuration_confirmed_at() : std::nullopt;
+    if (!confirmed || !first.replica().has_state()) {
+        return std::nullopt;
+    }
+    const auto known = request.versions.find(first.collection());
+    const bool has_all = known != request.versions.end() &&
+                         known->second.era == first.replica().version().era &&
+                         !first.replica().has_changes_since(known->second);
+    if (!has_all && answer.updates.count(first.collection()) == 0) {
+        return std::nullopt;
+    }
+    return std::max(now() - *confirmed, duration(0));
+}
+
 void state_relay::on_request(const nlohmann::json& message, relay_answer_handler respond) {
     error reason;
     const std::optional<state_request> request = state_request::from_json(message, reason);
--- a/gentianhill/relay/state_relay.h
+++ b/gentianhill/relay/state_relay.h
@@ -75,6 +75,11 @@
     std::function<std::uint64_t()> configuration_version;
     /// Configuration in effect, for daemons that lack it; null before the first one.
     std::function<const stored_object*()> configuration;
+    /// Moment as of which the configuration is known to be complete; nothing while that is not known. May be
+    /// empty.
+    std::function<std::optional<time_point>()> configuration_confirmed_at;
+    /// Called when another daemon has shown that the configuration is complete as of `moment`; may be empty.
+    std::function<void(time_point moment)> on_configuration_confirmed;
     /// Called with the configuration that is in effect at another daemon.
     std::function<void(const stored_object&)> on_configuration;
 
@@ -141,6 +146,9 @@
     /// Adds the version of the configuration in effect, so that the answer holds a higher one.
     void want_configuration(state_request& request) const;
     [[nodiscard]] state_answer make_answer(const state_request& request) const;
+    /// Age of the configuration that the receiver of an answer has once it has applied that.
+    [[nodiscard]] std::optional<duration> configuration_age_for(const state_request& request,
+                                                                const state_answer& answer) const;
     [[nodiscard]] bool has_news_for(const state_request& request) const;
     [[nodiscard]] bool lacks_state() const;
     [[nodiscard]] bool delivers(const std::string& name) const;
--- a/gentianhill/routing/route_table.h
+++ b/gentianhill/routing/route_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gentianhill/core/time.h"
+#include "gentianhill/teams/team_directory.h"
 
 #include <cstdint>
 #include <map>
@@ -39,6 +40,8 @@
     std::int64_t priority = 0;
     /// Maximum age of the data returned by a read.
     duration max_staleness{0};
+    /// True if callers need no key.
+    bool is_public = false;
 };
 
 /// Connection limit and replication settings of one database group.
@@ -58,6 +61,9 @@
     std::map<std::string, group_limits, std::less<>> groups;
     /// Idle time after which a transaction may be ended; zero means never.
     duration transaction_idle_limit{0};
+    /// Teams whose callers may use the routes; null when the deployment knows no teams, so that every caller
+    /// may use every route.
+    std::shared_ptr<const team_directory> teams;
 };
 
 /// Holds the configuration in effect; its version never decreases.
--- /dev/null
+++ b/gentianhill/teams/key_digest.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace gentianhill {
+
+/// Stands for the key of a caller. Keys are secrets, so only their digests are kept and compared: HMAC-SHA256
+/// under a secret that is drawn at the start of the process, which makes the time of a comparison and the
+/// digest itself say nothing about a key.
+class key_digest {
+public:
+    explicit key_digest(std::string_view key);
+
+    friend auto operator<=>(const key_digest&, const key_digest&) = default;
+
+private:
+    static constexpr std::size_t size = 32;
+    std::array<std::uint8_t, size> bytes_{};
+};
+
+} // namespace gentianhill
--- a/tests/platform/entries_tests.cpp
+++ b/tests/platform/entries_tests.cpp
@@ -286,3 +286,82 @@
         CHECK(parse_store_response(200, body).outcome == store_outcome::unknown);
     }
 }
+
+namespace {
+
+constexpr const char* secret_key = "s3cr3t-4711";
+
+/// Parses a configuration with these tenants; `reason` receives the error.
+std::optional<proxy_configuration> parse_tenants(const nlohmann::json& tenants, error& reason) {
+    nlohmann::json content = nlohmann::json::parse(R"({"Version": 7, "Routes": [
+        {"Name": "r-1", "Database": "fiti", "Type": "primary", "TimeoutMs": 1000, "Backend": "huvo11a"},
+        {"Name": "r-2", "Database": "open", "Type": "primary", "TimeoutMs": 1000, "Backend": "huvo11a",
+         "Public": true}], "Backends": [], "Limits": {}})");
+    content["Tenants"] = tenants;
+    return parse_configuration({"main", 1, content}, reason);
+}
+
+} // namespace
+
+TEST_CASE("entries_tenants_are_read_with_keys_limits_and_public_routes") {
+    error reason;
+    const std::optional<proxy_configuration> read = parse_tenants(
+        {{{"Name", "club"}, {"ApiKeys", {secret_key, "second"}}, {"RatePerS", 10}, {"Burst", 20}},
+         {{"Name", "riders"}, {"ApiKeys", {"third"}}, {"RatePerS", 5}},
+         {{"Name", "guests"}}},
+        reason);
+    REQUIRE(read);
+    CHECK(read->teams->teams().size() == 3);
+    CHECK(read->teams->key_count() == 3);
+    REQUIRE(read->teams->find(key_digest("second")));
+    CHECK(read->teams->find(key_digest("second"))->name == "club");
+    CHECK(read->teams->find(key_digest("second"))->rate == team_rate{10, 20});
+    CHECK(read->teams->find(key_digest("third"))->rate == team_rate{5, 5});
+    CHECK(read->teams->find(key_digest("fourth")) == nullptr);
+    CHECK_FALSE(read->teams->teams().at("guests")->rate);
+    CHECK(read->routes.at("open")->is_public);
+    CHECK_FALSE(read->routes.at("fiti")->is_public);
+}
+
+TEST_CASE("entries_configuration_without_tenants_has_no_teams") {
+    error reason;
+    CHECK(parse_tenants(nullptr, reason)->teams == nullptr);
+    CHECK(parse_tenants(nlohmann::json::array(), reason)->teams != nullptr);
+}
+
+// Guards against tenants that are applied in part, and against errors that show a key.
+TEST_CASE("entries_invalid_tenants_are_rejected_without_showing_a_key") {
+    const nlohmann::json keys = nlohmann::json::array({secret_key});
+    const double too_many = 1e17;
+    const std::vector<nlohmann::json> invalid = {
+        {{"club", {{"ApiKeys", keys}}}},
+        secret_key,
+        {secret_key},
+        {keys},
+        {{{"ApiKeys", keys}}},
+        {{{"Name", ""}, {"ApiKeys", keys}}},
+        {{{"Name", keys}, {"ApiKeys", keys}}},
+        {{{"Name", "two words"}, {"ApiKeys", keys}}},
+        {{{"Name", "club"}, {"ApiKeys", secret_key}}},
+        {{{"Name", "club"}, {"ApiKeys", {{{"key", secret_key}}}}}},
+        {{{"Name", "club"}, {"ApiKeys", {secret_key, 5}}}},
+        {{{"Name", "club"}, {"ApiKeys", {secret_key, ""}}}},
+        {{{"Name", "club"}, {"ApiKeys", {std::string(secret_key) + "\r\nx"}}}},
+        {{{"Name", "club"}, {"ApiKeys", {std::string(1U << 20U, 'k')}}}},
+        {{{"Name", "club"}, {"ApiKeys", keys}}, {{"Name", "riders"}, {"ApiKeys", keys}}},
+        {{{"Name", "club"}, {"ApiKeys", keys}}, {{"Name", "club"}, {"ApiKeys", {"other"}}}},
+        {{{"Name", "club"}, {"ApiKeys", keys}, {"RatePerS", 0}}},
+        {{{"Name", "club"}, {"ApiKeys", keys}, {"RatePerS", -1}}},
+        {{{"Name", "club"}, {"ApiKeys", keys}, {"RatePerS", too_many}}},
+        {{{"Name", "club"}, {"ApiKeys", keys}, {"RatePerS", "ten"}}},
+        {{{"Name", "club"}, {"ApiKeys", keys}, {"RatePerS", 1}, {"Burst", 0}}},
+    };
+    for (std::size_t index = 0; index < invalid.size(); ++index) {
+        CAPTURE(index);
+        error reason;
+        CHECK_FALSE(parse_tenants(invalid[index], reason));
+        CHECK(reason.failed());
+        CHECK(reason.describe().find(secret_key) == std::string::npos);
+        CHECK(reason.describe().size() < 300);
+    }
+}
--- a/tests/platform/instance_line_link_tests.cpp
+++ b/tests/platform/instance_line_link_tests.cpp
@@ -83,7 +83,7 @@
     output_flusher flusher{loop};
     raw_instance instance;
     std::unique_ptr<instance_line_link> link =
-        std::make_unique<instance_line_link>(flusher, instance.address(), "service", "i-1");
+        std::make_unique<instance_line_link>(flusher, instance.address(), "service", "", "i-1");
 
     std::vector<statement_result> opened;
     std::vector<instance_answer> answers;
--- a/tests/proxy/group_evidence_tests.cpp
+++ b/tests/proxy/group_evidence_tests.cpp
@@ -37,7 +37,8 @@
 
     group_fixture() {
         log.sink = [](std::string_view) {};
-        network.open = [this](const endpoint&, const std::string&, const std::string& id) {
+        network.open = [this](const endpoint&, const std::string&, const std::string&,
+                              const std::string& id) {
             std::unique_ptr<scripted_link> link = std::make_unique<scripted_link>(id);
             links.push_back(link.get());
             return link;
--- a/tests/proxy/pooled_connection_tests.cpp
+++ b/tests/proxy/pooled_connection_tests.cpp
@@ -55,7 +55,7 @@
     std::vector<statement_outcome> outcomes;
 
     pooled_connection_fixture() {
-        network.open = [this](const endpoint&, const std::string&, const std::string&) {
+        network.open = [this](const endpoint&, const std::string&, const std::string&, const std::string&) {
             return std::make_unique<scripted_link>(links);
         };
         log.sink = [](std::string_view) {};
@@ -66,12 +66,12 @@
     }
 
     pooled_connection& open_and_take() {
-        REQUIRE(instance->open_more(1));
+        REQUIRE(instance->open_more(1, ""));
         links.back()->open();
         return take();
     }
     pooled_connection& take() {
-        pooled_connection* taken = instance->take(session);
+        pooled_connection* taken = instance->take(session, "");
         REQUIRE(taken != nullptr);
         return *taken;
     }
@@ -151,7 +151,7 @@
     CHECK(links.back()->answer(make_busy()));
     CHECK(outcomes.size() == 2);
     instance->return_to_pool(connection);
-    CHECK(instance->take(session) == nullptr);
+    CHECK(instance->take(session, "") == nullptr);
     pass(110ms);
     pooled_connection& again = take();
     REQUIRE(again.needs_setup());
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -125,8 +125,9 @@
 /// Connection of a proxy to an instance of the service model, with network delay and partitions.
 class simulated_link : public instance_link {
 public:
-    simulated_link(simulated_deployment& deployment, std::size_t proxy, std::string id)
-        : deployment_(deployment), proxy_(proxy), id_(std::move(id)) {
+    simulated_link(simulated_deployment& deployment, std::size_t proxy, std::string team, std::string id)
+        : deployment_(deployment), proxy_(proxy), team_(std::move(team)), id_(std::move(id)) {
+        ++deployment_.told_teams[team_];
         send = [this](const instance_command& command) {
             if (message_bytes(command) > message_limit) {
                 ++deployment_.oversized_commands;
@@ -189,9 +190,14 @@
             return;
         }
         deployment_.clock.call_after(
-            network_delay, no_host, [this, alive = std::weak_ptr<bool>(alive_), command, held = connection_] {
+            network_delay, no_host,
+            [this, deployment = &deployment_, team = team_, alive = std::weak_ptr<bool>(alive_), command,
+             held = connection_] {
                 // A command that was sent arrives even if the sender has been destroyed meanwhile.
-                deployment_.service.handle(held, command, [this, alive](const instance_answer& answer) {
+                if (!command.id.empty()) {
+                    deployment->run_for_team[command.id] = team;
+                }
+                deployment->service.handle(held, command, [this, alive](const instance_answer& answer) {
                     if (alive.expired() || deployment_.is_cut(proxy_, id_)) {
                         return;
                     }
@@ -223,6 +229,7 @@
 
     simulated_deployment& deployment_;
     std::size_t proxy_;
+    std::string team_;
     std::string id_;
     std::shared_ptr<standins::model_connection> connection_;
     /// Commands that were sent and not answered yet.
@@ -272,8 +279,18 @@
 }
 
 void simulated_deployment::configure(std::uint64_t version, bool with_bounded, duration timeout) {
-    store.write(store_collection::configuration, "main",
-                {{"version", version}, {"bounded", with_bounded}, {"timeout_ms", to_milliseconds(timeout)}});
+    nlohmann::json needs_no_key = nlohmann::json::object();
+    for (const std::string& database : public_databases) {
+        needs_no_key[database] = true;
+    }
+    nlohmann::json content{{"version", version},
+                           {"bounded", with_bounded},
+                           {"timeout_ms", to_milliseconds(timeout)},
+                           {"public", std::move(needs_no_key)}};
+    if (teams) {
+        content["teams"] = *teams;
+    }
+    store.write(store_collection::configuration, "main", std::move(content));
 }
 
 void simulated_deployment::cut_from_proxies(std::size_t proxy, bool is_cut) {
@@ -320,9 +337,10 @@
 proxy_ports simulated_deployment::make_ports(std::size_t index) {
     const std::string own_name = host_name(index);
     proxy_ports ports;
-    ports.network.open = [this, index](const endpoint&, const std::string&, const std::string& id) {
+    ports.network.open = [this, index](const endpoint&, const std::string&, const std::string& team,
+                                       const std::string& id) {
         ++opened_connections;
-        return std::make_unique<simulated_link>(*this, index, id);
+        return std::make_unique<simulated_link>(*this, index, team, id);
     };
     ports.network.fits = [](const instance_command& command) {
         return message_bytes(command) <= message_limit;
@@ -368,8 +386,21 @@
             added->timeout = std::chrono::milliseconds(object.content.at("timeout_ms").get<std::int64_t>());
             added->target_latency = 200ms;
             added->max_staleness = consistency == consistency_level::latest ? duration(0) : duration(1500ms);
+            added->is_public = object.content.at("public").contains(database);
             configuration.routes.emplace(database, added);
         }
+        if (object.content.contains("teams")) {
+            std::shared_ptr<team_directory> directory = std::make_shared<team_directory>();
+            for (const auto& [name, keys] : object.content.at("teams").items()) {
+                std::shared_ptr<team> added = std::make_shared<team>();
+                added->name = name;
+                REQUIRE(directory->add(added));
+                for (const nlohmann::json& key : keys) {
+                    REQUIRE(directory->add_key(key_digest(key.get_ref<const std::string&>()), added));
+                }
+            }
+            configuration.teams = directory;
+        }
         configuration.groups[group_name] = {40, 1};
         configuration.transaction_idle_limit = 3000ms;
         return configuration;
@@ -405,6 +436,10 @@
     proxy_settings settings;
     settings.name = host_name(index);
     settings.zone = index % zones_ == 0 ? "a" : "b";
+    settings.key_lease = key_lease;
+    if (has_seed) {
+        settings.relay.seeds = {endpoint{"10.0.1.1", first_peer_port + 1}};
+    }
     settings.incarnation = std::to_string(++started.incarnation);
     settings.peer_address = endpoint{"10.0.1.1", static_cast<std::uint16_t>(first_peer_port + index)};
     started.served = std::make_unique<proxy>(settings, make_ports(index), *started.log, *started.registry);
@@ -427,10 +462,14 @@
     }
 }
 
-std::unique_ptr<simulated_client> simulated_deployment::connect(std::size_t proxy,
-                                                                const std::string& database) {
-    std::unique_ptr<client_session> session = at(proxy).open_session(database);
-    REQUIRE(session != nullptr);
+std::unique_ptr<simulated_client>
+simulated_deployment::connect(std::size_t proxy, const std::string& database, const std::string& key) {
+    statement_outcome refusal = statement_outcome::done;
+    std::unique_ptr<client_session> session = at(proxy).open_session(database, key, refusal);
+    if (session == nullptr) {
+        last_refusal = refusal;
+        return nullptr;
+    }
     std::unique_ptr<simulated_client> client = std::make_unique<simulated_client>(std::move(session), clock);
     client->on_done = [this](const std::string& id) { service.confirm(id); };
     return client;
--- a/tests/proxy/simulated_deployment.h
+++ b/tests/proxy/simulated_deployment.h
@@ -67,7 +67,9 @@
 
     /// Connects a client to a proxy with the database "latest", "bounded" or "own", named after its
     /// consistency level.
-    [[nodiscard]] std::unique_ptr<simulated_client> connect(std::size_t proxy, const std::string& database);
+    /// Null when the proxy refuses the session; last_refusal says why.
+    [[nodiscard]] std::unique_ptr<simulated_client> connect(std::size_t proxy, const std::string& database,
+                                                            const std::string& key = "");
     void run_for(duration length);
     /// Destroys a proxy without a graceful shutdown.
     void kill(std::size_t proxy);
@@ -106,6 +108,20 @@
     /// Requests between proxies that were answered, by kind.
     std::map<relay_request_kind, std::size_t> relayed;
     std::vector<std::string> log_lines;
+    /// Outcome by which the last session was refused.
+    statement_outcome last_refusal = statement_outcome::done;
+    /// Teams that configure() writes, with their keys; nothing for a deployment without teams.
+    std::optional<std::map<std::string, std::vector<std::string>>> teams;
+    /// Databases whose routes need no key.
+    std::set<std::string> public_databases;
+    /// Time for which proxies that start use a key after it was taken away.
+    duration key_lease{0};
+    /// Gives proxies that start the address of proxy 1 as a seed.
+    bool has_seed = false;
+    /// Teams that instances were told, by the number of connections.
+    std::map<std::string, std::size_t> told_teams;
+    /// Runs of statements at instances, by their id: the team of the connection.
+    std::map<std::string, std::string> run_for_team;
 
 private:
     friend class simulated_link;
