--- a/gentianhill/teams/key_digest.h
+++ b/gentianhill/teams/key_digest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <array>
-#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -14,7 +14,8 @@
 public:
     explicit key_digest(std::string_view key);
 
-    friend auto operator<=>(const key_digest&, const key_digest&) = default;
+    friend bool operator==(const key_digest& a, const key_digest& b) { return a.bytes_ == b.bytes_; }
+    friend bool operator<(const key_digest& a, const key_digest& b) { return a.bytes_ < b.bytes_; }
 
 private:
     static constexpr std::size_t size = 32;
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -290,7 +290,7 @@
     if (teams) {
         content["teams"] = *teams;
     }
-    store.write(store_collection::configuration, "main", std::move(content));
+    store.write(store_collection::configuration, "main", content);
 }
 
 void simulated_deployment::cut_from_proxies(std::size_t proxy, bool is_cut) {
