--- a/gentianhill/proxy/statement_host.cpp
+++ b/gentianhill/proxy/statement_host.cpp
@@ -27,6 +27,16 @@
            a.max_staleness == b.max_staleness;
 }
 
+/// Team of a client of another daemon; null for a client without one.
+std::shared_ptr<const team> make_caller(const std::string& name) {
+    if (name.empty()) {
+        return nullptr;
+    }
+    team caller;
+    caller.name = name;
+    return std::make_shared<const team>(std::move(caller));
+}
+
 } // namespace
 
 statement_host::statement_host(const statement_host_settings& settings,
@@ -153,6 +163,12 @@
     hosted->environment = environment_;
     hosted->environment.forwarder = nullptr;
     hosted->environment.counts_statements = false;
+    // The daemon of the client has checked its key, and its team's quota has admitted the statement.
+    hosted->environment.quota = {};
+    hosted->environment.check_caller =
+        [caller = make_caller(request.team)](const route&, const std::optional<key_digest>&, time_point) {
+            return caller_check{caller_verdict::allowed, caller};
+        };
     hosted->environment.find_route = [selected = request.selected_route](const std::string&) {
         return selected;
     };
@@ -162,8 +178,8 @@
     hosted->sender = request.incarnation;
     hosted->bytes = bytes;
     hosted->in_transaction = request.in_transaction;
-    hosted->session = std::make_unique<client_session>(request.selected_route->database, hosted->environment,
-                                                       log_, counters_);
+    hosted->session = std::make_unique<client_session>(request.selected_route->database, std::nullopt,
+                                                       hosted->environment, log_, counters_);
     hosted->session->on_answer = [this, handle](const statement_result& result) {
         on_result(handle, result);
     };
