--- a/gentianhill/ownership/statement_forwarder.cpp
+++ b/gentianhill/ownership/statement_forwarder.cpp
@@ -10,7 +10,15 @@
 namespace {
 
 bool is_not_processed(error_code code) {
-    return certainly_not_processed(code) || code == error_code::queue_full;
+    switch (code) {
+    case error_code::queue_full:
+    // The receiver could not read the message, or is of a version that knows none of these.
+    case error_code::bad_value:
+    case error_code::unknown_path:
+        return true;
+    default:
+        return certainly_not_processed(code);
+    }
 }
 
 } // namespace
@@ -137,7 +145,7 @@
             log_level::info, "ownership", "hand_on_failed",
             {{"id", statement.request.client_statement.id}, {"owner", owner}, {"reason", reason.describe()}});
         if (is_not_processed(reason.code)) {
-            if (reason.code != error_code::queue_full) {
+            if (reason.code != error_code::queue_full && reason.code != error_code::bad_value) {
                 set_unavailable(owner, reason.describe());
             }
             on_not_run(owner, std::move(statement), hand_on_refusal::none);
