--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -74,6 +74,12 @@
 /// Share of an instance's connections divided among the proxies; the rest is left for proxies that start or
 /// are replaced.
 constexpr double connection_share = 0.85;
+/// A guest's control connection is closed after this time without use: the next status call of a poll that
+/// opened it follows within two periods of the periodic work.
+constexpr duration guest_control_idle_timeout = 100ms;
+/// Longest time for which statements wait for the first read point: an instance counts the connections of a
+/// process that has ended for 3 s.
+constexpr duration warm_up_limit = 3500ms;
 /// Statements in flight beyond the instance's slots, to keep it busy while answers are in transit.
 constexpr std::size_t in_flight_reserve = 2;
 
@@ -112,6 +118,7 @@
       clock_(std::move(clock)),
       trust_(settings.trust_window),
       failure_detector_(settings.failure_detector) {
+    watching_since_ = now();
     failure_detector_.reset(false, now());
     settlement_.unsettle(now());
 }
@@ -205,6 +212,61 @@
     }
 }
 
+void database_group::set_role(group_role role, std::size_t connections) {
+    const bool was_watching = is_watching();
+    const bool is_new = role != role_;
+    role_ = role;
+    const instance_pool_settings defaults;
+    settings_.pool.idle_timeout = defaults.idle_timeout;
+    settings_.pool.min_idle = defaults.min_idle;
+    settings_.pool.control_idle_timeout = defaults.control_idle_timeout;
+    switch (role) {
+    case group_role::shared:
+        break;
+    case group_role::owner:
+        settings_.pool.max_connections = connections;
+        settings_.pool.idle_timeout = settings_.owner_idle_timeout;
+        break;
+    case group_role::guest:
+        // What this daemon does not use belongs to the owners.
+        settings_.pool.max_connections = connections;
+        settings_.pool.idle_timeout = duration(0);
+        settings_.pool.min_idle = 0;
+        settings_.pool.control_idle_timeout = guest_control_idle_timeout;
+        break;
+    }
+    set_limits(limits_, 0);
+    if (is_new && !was_watching && is_watching()) {
+        begin_watching();
+    }
+}
+
+bool database_group::is_watching() const {
+    return role_ != group_role::guest || unservable_since_ ||
+           now() - last_statement_ < settings_.guest_interest;
+}
+
+void database_group::note_statement() {
+    const bool was_watching = is_watching();
+    last_statement_ = now();
+    if (!was_watching) {
+        begin_watching();
+    }
+}
+
+void database_group::begin_watching() {
+    // What was not watched says nothing about the primary.
+    watching_since_ = now();
+    failure_detector_.reset(!primary_id_.empty(), watching_since_);
+    last_poll_ = time_point{};
+    poll_instances();
+}
+
+bool database_group::is_warming_up() const {
+    const std::optional<time_point> newest = read_points_.newest_at();
+    return now() - watching_since_ < warm_up_limit && (!newest || *newest < watching_since_);
+}
+
 void database_group::begin_era(std::uint64_t era, time_point evidence_from) {
     era_ = era;
     settlement_.unsettle_for_new_era(evidence_from);
@@ -222,6 +284,7 @@
 }
 
 placement database_group::place(const placement_query& query) {
+    note_statement();
     const bool reads_replica =
         (query.access == access_kind::read || query.access == access_kind::read_transaction) &&
         query.consistency != consistency_level::latest;
@@ -578,20 +641,20 @@
     open_polls_.erase(instance.listed().id);
 }
 
-void database_group::poll_status(proxy_instance& instance) {
+bool database_group::poll_status(proxy_instance& instance) {
     const std::string& id = instance.listed().id;
     const time_point current = now();
     const std::map<std::string, status_poll>::iterator open = open_polls_.find(id);
     if (open != open_polls_.end() && current - open->second.sent_at < status_timeout) {
-        return;
+        return true;
     }
     const std::map<std::string, time_point>::iterator last = status_sent_at_.find(id);
     if (last != status_sent_at_.end() && current - last->second < status_spacing) {
-        return;
+        return true;
     }
     pooled_connection* connection = instance.take_for_status_call();
     if (connection == nullptr) {
-        return;
+        return false;
     }
     open_polls_.insert_or_assign(id, status_poll{current, connection->number()});
     status_sent_at_[id] = current;
@@ -609,6 +672,7 @@
                        {{"instance", id}, {"outcome", to_string(answer.result.outcome)}});
         }
     });
+    return true;
 }
 
 void database_group::on_status(proxy_instance& instance, const instance_status& status, time_point sent_at) {
@@ -868,13 +932,15 @@
 
 void database_group::poll_instances() {
     const time_point current = now();
-    if (current - last_poll_ < poll_interval) {
+    if (!is_watching() || current - last_poll_ < poll_interval) {
         return;
     }
-    last_poll_ = current;
+    bool is_sent = instances_.empty();
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
-        poll_status(*entry.second);
+        is_sent = poll_status(*entry.second) || is_sent;
     }
+    // While all connections are being opened, the next periodic work tries again.
+    last_poll_ = is_sent ? current : last_poll_;
 }
 
 bool database_group::is_trusted_since(time_point moment) const {
@@ -971,6 +1037,10 @@
         (!need.max_point_age || read_points_.find_oldest(asked_at - *need.max_point_age, trust_.until()));
     if (!suffices) {
         zone_pause_until_ = now() + zone_pause;
+        if (need.trust && !unconfirmed_.empty()) {
+            // No waiting statement asks again for a commit that waits for its confirmation.
+            request_evidence_from_instances();
+        }
     }
     place_waiting_tasks();
 }
@@ -1194,20 +1264,26 @@
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
         entry.second->tick();
     }
-    probe_primary(current);
+    if (is_watching()) {
+        probe_primary(current);
+    }
     proxy_instance* leader = primary();
-    outage_estimator_.update(leader != nullptr && leader->is_usable(), current);
+    if (is_watching()) {
+        outage_estimator_.update(leader != nullptr && leader->is_usable(), current);
+    }
     if (leader != nullptr) {
         const std::optional<time_point> commit = leader->commit_waiting_since();
         if (commit) {
             failure_detector_.on_commit_waiting(*commit, current);
         }
     }
-    renew_evidence(current);
-    renew_trust_in_use(current);
     check_unconfirmed_commits(current);
-    poll_for_settlement(current);
-    check_recovery(current);
+    if (is_watching()) {
+        renew_evidence(current);
+        renew_trust_in_use(current);
+        poll_for_settlement(current);
+        check_recovery(current);
+    }
     answer_zone_requests();
     tick_tasks(current);
     place_waiting_tasks();
