--- a/gentianhill/metadata/metadata_store.cpp
+++ b/gentianhill/metadata/metadata_store.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> collection_names{"instances", "configuration", "duties", "proxies"};
+constexpr std::array<std::string_view, 5> collection_names{"instances", "configuration", "duties", "proxies",
+                                                           "quotas"};
 constexpr std::array<std::string_view, 6> outcome_names{"done",         "not_found", "conflict",
                                                         "history_lost", "refused",   "unknown"};
 
--- a/gentianhill/metadata/metadata_store.h
+++ b/gentianhill/metadata/metadata_store.h
@@ -15,7 +15,7 @@
 namespace gentianhill {
 
 /// Collections of objects in the metadata store.
-enum class store_collection : std::uint8_t { instances, configuration, duties, proxies };
+enum class store_collection : std::uint8_t { instances, configuration, duties, proxies, quotas };
 
 /// Returns the name of a collection for logging.
 [[nodiscard]] std::string_view to_string(store_collection collection);
--- a/gentianhill/relay/relay_messages.cpp
+++ b/gentianhill/relay/relay_messages.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 2> kind_names{"state", "evidence"};
+constexpr std::array<std::string_view, 5> kind_names{"state", "evidence", "quota-tokens", "quota-shares",
+                                                     "quota-holdings"};
 constexpr std::array<store_collection, 4> all_collections{
     store_collection::instances, store_collection::configuration, store_collection::duties,
     store_collection::proxies};
--- a/gentianhill/relay/relay_port.h
+++ b/gentianhill/relay/relay_port.h
@@ -19,6 +19,12 @@
     state,
     /// Trust in the primary of a group, and its log positions.
     evidence,
+    /// Tokens of a team, from the counter of the zone.
+    quota_tokens,
+    /// Shares of teams, from the allocator.
+    quota_shares,
+    /// What a daemon holds of the shares, and whether it allocates.
+    quota_holdings,
 };
 
 /// Returns the name of a kind as it appears in paths and logs.
--- a/gentianhill/relay/relay_transport.cpp
+++ b/gentianhill/relay/relay_transport.cpp
@@ -18,12 +18,13 @@
 constexpr int status_not_found = 404;
 constexpr int status_too_large = 413;
 constexpr std::string_view path_prefix = "/relay/v1/";
-constexpr std::array<relay_request_kind, 2> all_kinds{relay_request_kind::state,
-                                                      relay_request_kind::evidence};
+constexpr std::array<relay_request_kind, 5> all_kinds{
+    relay_request_kind::state, relay_request_kind::evidence, relay_request_kind::quota_tokens,
+    relay_request_kind::quota_shares, relay_request_kind::quota_holdings};
 constexpr duration idle_check_interval = 10s;
-/// An answer to a request for evidence is awaited for milliseconds only, so a few missing ones in a row do
+/// Answers to all but requests for state are awaited for milliseconds only, so a few missing ones in a row do
 /// not show that the connection is dead.
-constexpr unsigned silent_evidence_timeouts = 3;
+constexpr unsigned silent_short_timeouts = 3;
 
 http2::server_settings server_settings(const relay_transport_settings& settings) {
     http2::server_settings result;
@@ -143,7 +144,7 @@
         settings.connection.connect_timeout = settings_.connect_timeout;
         settings.connection.max_body_bytes = settings_.max_answer_bytes;
         settings.max_open_requests = settings_.max_open_requests;
-        settings.silent_timeouts = kind == relay_request_kind::state ? 1 : silent_evidence_timeouts;
+        settings.silent_timeouts = kind == relay_request_kind::state ? 1 : silent_short_timeouts;
         found.client = std::make_unique<http2::reconnecting_client>(loop_, settings, random_);
     }
     found.used_at = event_loop::now();
