--- a/gentianhill/quota/grant_holder.cpp
+++ b/gentianhill/quota/grant_holder.cpp
@@ -19,6 +19,9 @@
 /// Pauses between requests that bring no token: at most 20 requests a second of a team at its limit.
 constexpr duration min_pause = 5ms;
 constexpr duration max_pause = 50ms;
+/// Requests in a row without a token in which a few operations wait in any case.
+constexpr unsigned first_failures = 3;
+constexpr std::size_t waiting_at_first = 4;
 /// Failures in a row after which the pause does not grow any more.
 constexpr unsigned max_doublings = 4;
 
@@ -64,8 +67,7 @@
         const bool is_exhausted = answer && answer->outcome == tokens_outcome::exhausted;
         state.last_refusal = is_exhausted ? quota_refusal::exhausted : quota_refusal::unassigned;
         const duration pause = min_pause * (1U << std::min(state.failures, max_doublings));
-        const duration wanted = is_exhausted ? answer->retry_after : duration(0);
-        state.ask_at = now() + std::clamp(std::max(pause, wanted), min_pause, max_pause);
+        state.ask_at = now() + std::min(pause, max_pause);
         ++state.failures;
     }
     serve_waiting(team);
@@ -156,9 +158,11 @@
     if (state.last_refusal != quota_refusal::exhausted) {
         return state.waiting.size() < max_waiting;
     }
-    // At the limit, only as many wait as tokens arrive within the longest wait.
+    // At the limit, only as many wait as tokens arrive within the longest wait. At first a counter may only
+    // have to ask for more.
     const double expected = state.granted.at(now()) * seconds(settings_.max_wait);
-    return state.waiting.size() < std::max(std::size_t{1}, static_cast<std::size_t>(expected));
+    const std::size_t least = state.failures < first_failures ? waiting_at_first : 1;
+    return state.waiting.size() < std::max(least, static_cast<std::size_t>(expected));
 }
 
 duration grant_holder::longest_wait(const team_state& state) const {
--- a/gentianhill/quota/quota_messages.cpp
+++ b/gentianhill/quota/quota_messages.cpp
@@ -50,6 +50,11 @@
     return static_cast<std::uint64_t>(reader.integer(name, 0, max_number));
 }
 
+/// Number of tokens; 0 when it is absent.
+double read_optional_tokens(object_reader& reader, std::string_view name) {
+    return reader.any(name).is_null() ? 0 : reader.number(name, 0, max_tokens);
+}
+
 template <typename outcome_type, std::size_t size>
 outcome_type read_outcome(object_reader& reader, const std::array<std::string_view, size>& names) {
     const std::string text = reader.text("outcome", max_name_length);
@@ -77,11 +82,18 @@
 nlohmann::json holdings_to_json(const std::vector<team_holding>& holdings) {
     nlohmann::json list = nlohmann::json::array();
     for (const team_holding& holding : holdings) {
-        list.push_back({{"team", holding.team},
-                        {"rate", rounded_up(holding.share.rate)},
-                        {"capacity", rounded_up(holding.share.capacity)},
-                        {"tokens", rounded_up(holding.tokens)},
-                        {"demand", rounded_down(holding.demand)}});
+        nlohmann::json entry{{"team", holding.team},
+                             {"rate", rounded_up(holding.share.rate)},
+                             {"capacity", rounded_up(holding.share.capacity)},
+                             {"level", rounded_up(holding.level)},
+                             {"demand", rounded_down(holding.demand)}};
+        if (holding.in_use > 0) {
+            entry["in_use"] = rounded_up(holding.in_use);
+        }
+        if (holding.returned > 0) {
+            entry["returned"] = rounded_down(holding.returned);
+        }
+        list.push_back(std::move(entry));
     }
     return list;
 }
@@ -95,8 +107,10 @@
         holding.team = entry.text("team", max_name_length);
         holding.share.rate = entry.number("rate", 0, max_tokens);
         holding.share.capacity = entry.number("capacity", 0, max_tokens);
-        holding.tokens = entry.number("tokens", 0, max_tokens);
+        holding.level = entry.number("level", 0, max_tokens);
+        holding.in_use = read_optional_tokens(entry, "in_use");
         holding.demand = entry.number("demand", 0, max_tokens);
+        holding.returned = read_optional_tokens(entry, "returned");
         holdings.push_back(std::move(holding));
     }
     return holdings;
@@ -122,8 +136,7 @@
 nlohmann::json tokens_answer::to_json() const {
     return {{"daemon", daemon},
             {"outcome", tokens_outcome_names.at(static_cast<std::size_t>(outcome))},
-            {"tokens", tokens},
-            {"retry_after_us", clamp(retry_after)}};
+            {"tokens", tokens}};
 }
 
 std::optional<tokens_answer> tokens_answer::from_json(const nlohmann::json& value, error& reason) {
@@ -132,7 +145,6 @@
     answer.daemon = reader.text("daemon", max_name_length);
     answer.outcome = read_outcome<tokens_outcome>(reader, tokens_outcome_names);
     answer.tokens = reader.integer("tokens", 0, max_count);
-    answer.retry_after = read_duration(reader, "retry_after_us");
     return reader.ok() ? std::optional(std::move(answer)) : std::nullopt;
 }
 
@@ -193,7 +205,7 @@
         assigned.team = entry.text("team", max_name_length);
         assigned.share.rate = entry.number("rate", 0, max_tokens);
         assigned.share.capacity = entry.number("capacity", 0, max_tokens);
-        assigned.tokens = entry.any("tokens").is_null() ? 0 : entry.number("tokens", 0, max_tokens);
+        assigned.tokens = read_optional_tokens(entry, "tokens");
         assigned.is_lowered = entry.boolean("lowered", false);
         answer.shares.push_back(std::move(assigned));
     }
--- a/gentianhill/quota/quota_messages.h
+++ b/gentianhill/quota/quota_messages.h
@@ -47,8 +47,6 @@
     tokens_outcome outcome = tokens_outcome::unassigned;
     /// Tokens given, for the time that the settings state.
     std::int64_t tokens = 0;
-    /// Time after which a token is expected when none was given.
-    duration retry_after{0};
 
     [[nodiscard]] nlohmann::json to_json() const;
     /// Errors: those of object_reader.
@@ -60,10 +58,13 @@
     std::string team;
     /// Share in force.
     quota_share share;
-    /// Tokens in its bucket and in use at daemons.
-    double tokens = 0;
+    /// Tokens in its bucket, and those that may be in use at daemons.
+    double level = 0;
+    double in_use = 0;
     /// Operations per second that it is asked for.
     double demand = 0;
+    /// Tokens taken out of the bucket when the share was lowered, for the allocator.
+    double returned = 0;
 };
 
 /// Asks the allocator for the shares of a counter and states what it holds. The sender drops the answers to
--- a/gentianhill/quota/quota_settings.h
+++ b/gentianhill/quota/quota_settings.h
@@ -26,7 +26,7 @@
     /// Pause between renewals of the claim; each is a call to the store.
     duration claim_renewal = std::chrono::milliseconds(1000);
     /// Pause between requests of a counter to the allocator while nothing changes.
-    duration share_interval = std::chrono::milliseconds(600);
+    duration share_interval = std::chrono::milliseconds(400);
     /// The same after a change of demand, or when a share is to be lowered.
     duration short_share_interval = std::chrono::milliseconds(100);
     /// Time ahead for which a daemon asks for tokens.
--- a/gentianhill/quota/share_ledger.cpp
+++ b/gentianhill/quota/share_ledger.cpp
@@ -10,22 +10,34 @@
 
 using namespace std::chrono_literals;
 
-/// Part of the whole share that is kept for counters that have none yet.
-constexpr double reserve = 1.0 / 16;
+/// Part of the whole share that is kept for counters that have none yet, and the tokens that are kept at
+/// least, up to a part of the capacity.
+constexpr double reserved_part = 1.0 / 16;
+constexpr double reserved_tokens = 2;
+constexpr double max_reserved_part = 1.0 / 3;
 /// Leased rate for each operation per second that is asked for, so that a share covers a rise of demand until
 /// the next request.
 constexpr double rate_headroom = 1.3;
-constexpr double min_rate = 0.5;
+/// A bucket that is filled to this part gets no more than what is asked for at least, up to a number of
+/// standard deviations, since it would lose what it can't hold.
+constexpr double full_part = 0.9;
+constexpr double full_deviations = 1.5;
 /// Time of demand that the capacity covers beyond the tokens in use.
 constexpr duration burst_cover = 400ms;
+/// Capacity of a counter beyond its demand, since clients send several operations in a row.
+constexpr double usual_burst = 1;
 /// Tokens that a counter may always hold, so that the first operations of a team in a zone find some.
-constexpr double min_capacity = 2;
+constexpr double min_capacity = 1;
 /// The most of a small team's capacity that goes to a counter without demand.
 constexpr double max_idle_part = 0.25;
 /// Smallest part of the rest that is moved to a counter that asks.
 constexpr double min_moved_part = 0.25;
-/// A share is called lowered when it is less than this part of the one held.
+/// Tokens that are moved at least to one that has none.
+constexpr double min_moved = 2;
+/// A share is called lowered when it is less than this part of the one held, by more than one.
 constexpr double lowered_part = 0.9;
+/// Part of a share that is kept at each request while nobody else wants it.
+constexpr double kept_part = 0.8;
 /// Time for which a team counts as contended after a counter could not be given what it asked for.
 constexpr duration contention_time = 1s;
 
@@ -37,6 +49,12 @@
     return {share.rate * factor, share.capacity * factor};
 }
 
+/// What only counters with next to nothing may get.
+quota_share reserve_of(const quota_share& total) {
+    const double tokens = std::min(reserved_tokens, total.capacity * max_reserved_part);
+    return {total.rate * reserved_part, std::max(total.capacity * reserved_part, tokens)};
+}
+
 } // namespace
 
 void share_ledger::begin(const std::set<share_holder>& holders, bool is_complete, time_point now) {
@@ -135,31 +153,45 @@
     const double demand = holding.demand;
     const double others = demand_of_others(holding.team, holder, now);
     const double weight = demand + others > 0 ? demand / (demand + others) : 1;
-    const quota_share wanted{
-        rate_headroom * demand + min_rate,
-        demand * (seconds(settings_.grant_life) + seconds(burst_cover)) + min_capacity + 1};
+    // Random arrivals exceed their mean by its root every now and then.
+    const double expected = demand * (seconds(settings_.grant_life) + seconds(burst_cover));
+    const bool is_full = holding.level + holding.in_use >= full_part * holding.share.capacity && holding.share.capacity > 0;
+    const double least_demand = std::max(demand - full_deviations * std::sqrt(demand), 0.0);
+    const quota_share wanted{is_full ? least_demand : rate_headroom * demand,
+                             expected + std::sqrt(expected) + usual_burst};
     const quota_share least{0, std::min(min_capacity, total->capacity * max_idle_part)};
-    const quota_share target = smaller(wanted, larger(scaled(*total, weight * (1 - reserve)), least));
+    const quota_share reserve = reserve_of(*total);
+    const quota_share target = smaller(wanted, larger(scaled(*total - reserve, weight), least));
     const quota_share free = *total - leased_to_others(holding.team, holder, now);
-    result.share = smaller(target, free);
+    state.rest.set_share(*total - leased(holding.team, now), now);
+    state.rest.add(holding.returned, now);
+    // While nobody wants it, a share falls slowly, since demand varies at random.
+    const bool is_contended = now < state.contended_until;
+    const double kept_capacity = is_contended ? 0 : kept_part * holding.share.capacity;
+    const quota_share kept{target.rate, std::max(target.capacity, kept_capacity)};
+    // The reserve is for counters that have no token.
+    const bool is_starving = holding.level < 1;
+    result.share = smaller(kept, is_starving ? free : larger(free - reserve, smaller(least, free)));
     entry.offered[holding.team] = result.share;
 
     if (result.share.rate < lowered_part * target.rate ||
         result.share.capacity < lowered_part * target.capacity) {
         state.contended_until = now + contention_time;
     }
-    result.is_lowered = now < state.contended_until &&
-                        (result.share.rate < lowered_part * holding.share.rate ||
-                         result.share.capacity < lowered_part * holding.share.capacity);
+    const quota_share lowered = scaled(holding.share, lowered_part) - quota_share{1, 1};
+    result.is_lowered =
+        is_contended && (result.share.rate < lowered.rate || result.share.capacity < lowered.capacity);
 
-    state.rest.set_share(*total - leased(holding.team, now), now);
-    const double room = std::max(result.share.capacity - holding.tokens, 0.0);
+    // Capacity that is leased takes the tokens in it along.
+    const double room = std::max(result.share.capacity - holding.level - holding.in_use, 0.0);
+    const double surplus = std::min(state.rest.set_share(*total - leased(holding.team, now), now), room);
     const double level = state.rest.level(now);
-    double moved = std::min(room, level * std::max(weight, min_moved_part));
-    if (moved < 1 && holding.tokens < 1) {
-        moved = std::min({room, level, 1.0});
+    const double above_reserve = std::max(level - reserve.capacity, 0.0);
+    double moved = std::min(room - surplus, above_reserve * std::max(weight, min_moved_part));
+    if (is_starving && surplus + moved < min_moved) {
+        moved = std::min(room - surplus, std::min(level, min_moved));
     }
-    result.tokens = state.rest.move_out(moved, now);
+    result.tokens = surplus + state.rest.move_out(moved, now);
     return result;
 }
 
--- a/gentianhill/quota/token_bucket.cpp
+++ b/gentianhill/quota/token_bucket.cpp
@@ -5,10 +5,13 @@
 
 namespace gentianhill {
 
-void token_bucket::set_share(const quota_share& share, time_point now) {
+double token_bucket::set_share(const quota_share& share, time_point now) {
     advance(now);
     share_ = share;
-    level_ = std::clamp(level_, 0.0, std::max(share_.capacity - static_cast<double>(in_use_), 0.0));
+    const double room = std::max(share_.capacity - static_cast<double>(in_use_), 0.0);
+    const double surplus = std::max(level_ - room, 0.0);
+    level_ -= surplus;
+    return surplus;
 }
 
 void token_bucket::add(double tokens, time_point now) {
--- a/gentianhill/quota/token_bucket.h
+++ b/gentianhill/quota/token_bucket.h
@@ -13,8 +13,8 @@
 /// elsewhere are together at most the capacity. All times are of a clock that counts suspension.
 class token_bucket {
 public:
-    /// Changes the share. Tokens above a lower capacity are lost; a new bucket is empty.
-    void set_share(const quota_share& share, time_point now);
+    /// Changes the share and returns the tokens that a lower capacity has no room for. A new bucket is empty.
+    double set_share(const quota_share& share, time_point now);
     /// Adds tokens taken out of another bucket of the same team, up to the capacity.
     void add(double tokens, time_point now);
     /// Takes up to `wanted` whole tokens, which may be used until `now + life`.
--- a/gentianhill/quota/zone_counter.cpp
+++ b/gentianhill/quota/zone_counter.cpp
@@ -11,8 +11,6 @@
 
 using namespace std::chrono_literals;
 
-/// Pause between requests to the allocator while operations wait for a first share.
-constexpr duration unassigned_interval = 20ms;
 /// The same after a request that brought no shares.
 constexpr duration failure_interval = 100ms;
 /// A team that no daemon asks for gives its share back after this time.
@@ -21,12 +19,6 @@
 constexpr double spare_part = 0.25;
 /// Teams of one counter, all of which are in each request; the transport limits its size.
 constexpr std::size_t max_teams = 400;
-/// Longest time until a token is expected that is stated to a daemon.
-constexpr double max_retry_s = 1.0;
-
-duration from_seconds(double length) {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(length));
-}
 
 } // namespace
 
@@ -58,10 +50,6 @@
     answer.outcome = tokens_outcome::granted;
     if (answer.tokens < request.needed) {
         state.is_short = true;
-        const double rate = state.bucket.share().rate;
-        const double missing = 1 - state.bucket.level(now);
-        answer.retry_after =
-            from_seconds(rate > 0 ? std::clamp(missing / rate, 0.0, max_retry_s) : max_retry_s);
         answer.outcome = answer.tokens > 0 ? tokens_outcome::granted : tokens_outcome::exhausted;
     }
     return answer;
@@ -81,7 +69,9 @@
         const team_state& state = entry.second;
         if (state.is_unassigned) {
             pause = std::min(pause, unassigned_interval);
-        } else if (state.is_short || state.is_lowered || has_changed(state, now)) {
+        } else if (state.is_short) {
+            pause = std::min(pause, state.short_pause);
+        } else if (state.is_lowered || has_changed(state, now)) {
             pause = std::min(pause, settings_.short_share_interval);
         }
     }
@@ -107,6 +97,7 @@
     for (std::map<std::string, team_state, std::less<>>::value_type& entry : teams_) {
         team_state& state = entry.second;
         request.teams.push_back(holding_of(entry.first, state, now));
+        request.teams.back().returned = std::exchange(state.surplus, 0);
         state.reported_demand = request.teams.back().demand;
         state.is_unassigned = false;
         state.is_short = false;
@@ -145,7 +136,10 @@
     // A lower limit may be known here before the allocator knows it.
     const std::optional<quota_share> bound = whole(assigned.team);
     const quota_share share = bound ? smaller(assigned.share, *bound) : quota_share{};
-    state.bucket.set_share(share, now);
+    const bool has_grown = assigned.tokens >= 1 || share.rate > state.bucket.share().rate;
+    state.short_pause =
+        has_grown ? unassigned_interval : std::min(2 * state.short_pause, settings_.short_share_interval);
+    state.surplus += state.bucket.set_share(share, now);
     state.bucket.add(assigned.tokens, now);
     // With less than one token nothing could ever be given.
     state.has_share = share.capacity >= 1;
@@ -194,7 +188,8 @@
     team_holding holding;
     holding.team = team;
     holding.share = state.bucket.effective_share(now);
-    holding.tokens = state.bucket.level(now) + state.bucket.in_use(now);
+    holding.level = state.bucket.level(now);
+    holding.in_use = state.bucket.in_use(now);
     holding.demand = state.demand.at(now);
     return holding;
 }
@@ -211,6 +206,8 @@
 void zone_counter::drop_share(team_state& state, time_point now) {
     state.bucket.set_share({}, now);
     state.has_share = false;
+    // Tokens of a lease that has ended must not return to the allocator, which counts them no more.
+    state.surplus = 0;
 }
 
 void zone_counter::forget_idle(time_point now) {
--- a/gentianhill/quota/zone_counter.h
+++ b/gentianhill/quota/zone_counter.h
@@ -49,14 +49,21 @@
     [[nodiscard]] std::size_t team_count(time_point now);
 
 private:
+    /// Pause between requests to the allocator while operations wait for it.
+    static constexpr duration unassigned_interval = std::chrono::milliseconds(20);
+
     struct team_state {
         token_bucket bucket;
         bool has_share = false;
+        /// Tokens to be returned with the next request.
+        double surplus = 0;
         demand_rate demand;
         double reported_demand = 0;
         /// Operations found no share, or not enough tokens, since the last request.
         bool is_unassigned = false;
         bool is_short = false;
+        /// Pause before the allocator is asked for more when tokens are short; grows while it has none.
+        duration short_pause = unassigned_interval;
         /// The allocator awaits a report that the share has been lowered.
         bool is_lowered = false;
         time_point asked_at;
--- a/tests/quota/quota_fleet.cpp
+++ b/tests/quota/quota_fleet.cpp
@@ -255,7 +255,11 @@
 }
 
 double quota_fleet::refused_part(const std::string& team) const {
-    const team_counts& counts = counts_.at(team);
+    const std::map<std::string, team_counts>::const_iterator found = counts_.find(team);
+    if (found == counts_.end()) {
+        return 0;
+    }
+    const team_counts& counts = found->second;
     return counts.total == 0 ? 0 : static_cast<double>(counts.refused) / static_cast<double>(counts.total);
 }
 
@@ -274,7 +278,9 @@
 }
 
 std::size_t quota_fleet::most_in_window(const std::string& team, time_point from) const {
-    std::vector<time_point> admitted = counts_.at(team).admitted;
+    const std::map<std::string, team_counts>::const_iterator found = counts_.find(team);
+    std::vector<time_point> admitted =
+        found == counts_.end() ? std::vector<time_point>{} : found->second.admitted;
     std::sort(admitted.begin(), admitted.end());
     std::size_t most = 0;
     std::size_t first = 0;
