--- a/gentianhill/core/setting_definition.cpp
+++ b/gentianhill/core/setting_definition.cpp
@@ -20,8 +20,8 @@
 constexpr std::array type_names{
     type_name{setting_type::name, "name"},           type_name{setting_type::secret, "secret"},
     type_name{setting_type::choice, "choice"},       type_name{setting_type::integer, "integer"},
-    type_name{setting_type::address, "address"},     type_name{setting_type::address_list, "address list"},
-    type_name{setting_type::peer_list, "peer list"},
+    type_name{setting_type::number, "number"},       type_name{setting_type::address, "address"},
+    type_name{setting_type::address_list, "address list"}, type_name{setting_type::peer_list, "peer list"},
 };
 
 std::string default_text(const setting_definition& definition) {
@@ -66,6 +66,8 @@
         return fmt::format("{}", fmt::join(choices, ", "));
     case setting_type::integer:
         return fmt::format("{} to {}", low, high);
+    case setting_type::number:
+        return fmt::format("{} to {}, also fractions", low, high);
     case setting_type::address:
         return "an IPv4 number and a port, such as 127.0.0.1:7400";
     case setting_type::address_list:
@@ -89,6 +91,14 @@
     return result;
 }
 
+setting_definition make_number_setting(std::string_view name, std::string_view value, std::int64_t low,
+                                       std::int64_t high, std::string_view unit, std::string_view help) {
+    setting_definition result = make_integer_setting(name, 0, low, high, unit, help);
+    result.type = setting_type::number;
+    result.default_value = value;
+    return result;
+}
+
 std::string settings_help(std::span<const setting_definition> definitions) {
     boost::program_options::options_description description{"Settings"};
     for (const setting_definition& definition : definitions) {
--- a/gentianhill/core/setting_definition.h
+++ b/gentianhill/core/setting_definition.h
@@ -9,7 +9,17 @@
 namespace gentianhill {
 
 /// Form of the value of a setting.
-enum class setting_type : std::uint8_t { name, secret, choice, integer, address, address_list, peer_list };
+enum class setting_type : std::uint8_t {
+    name,
+    secret,
+    choice,
+    integer,
+    /// Whole number or decimal fraction.
+    number,
+    address,
+    address_list,
+    peer_list,
+};
 
 /// Name of a type as it appears in help and documentation.
 [[nodiscard]] std::string_view to_string(setting_type type);
@@ -24,9 +34,9 @@
     std::string default_value;
     /// True when there is no usable default.
     bool required = false;
-    /// Unit of an integer; empty when it has none.
+    /// Unit of an integer or a number; empty when it has none.
     std::string unit;
-    /// Range of an integer, or of the length of a secret in bytes; both ends included.
+    /// Range of an integer or a number, or of the length of a secret in bytes; both ends included.
     std::int64_t low = 0;
     std::int64_t high = 0;
     /// Values allowed for a choice.
@@ -47,6 +57,11 @@
                                                       std::int64_t low, std::int64_t high,
                                                       std::string_view unit, std::string_view help);
 
+/// Definition of a number setting with a default and a range, both ends included.
+[[nodiscard]] setting_definition make_number_setting(std::string_view name, std::string_view value,
+                                                     std::int64_t low, std::int64_t high,
+                                                     std::string_view unit, std::string_view help);
+
 /// Help text with one flag per setting.
 [[nodiscard]] std::string settings_help(std::span<const setting_definition> definitions);
 
--- a/gentianhill/core/setting_values.cpp
+++ b/gentianhill/core/setting_values.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cassert>
 #include <charconv>
+#include <cmath>
 #include <system_error>
 #include <unistd.h>
 
@@ -43,11 +44,24 @@
     return result;
 }
 
+std::optional<double> parse_number(std::string_view text) {
+    double result = 0;
+    const char* end = text.data() + text.size();
+    const std::from_chars_result parsed =
+        std::from_chars(text.data(), end, result, std::chars_format::fixed);
+    // "inf" and "nan" are read as numbers.
+    if (parsed.ec != std::errc{} || parsed.ptr != end || !std::isfinite(result)) {
+        return std::nullopt;
+    }
+    return result;
+}
+
 // Code of the failure of a value that its definition does not allow; none when it is allowed.
 error_code check_value(const setting_definition& definition, const std::string& value) {
     error ignored;
     const std::int64_t length = static_cast<std::int64_t>(value.size());
     std::optional<std::int64_t> number;
+    std::optional<double> decimal;
     bool good = false;
     switch (definition.type) {
     case setting_type::name:
@@ -66,6 +80,14 @@
         }
         good = number.has_value();
         break;
+    case setting_type::number:
+        decimal = parse_number(value);
+        if (decimal && (*decimal < static_cast<double>(definition.low) ||
+                        *decimal > static_cast<double>(definition.high))) {
+            return error_code::out_of_range;
+        }
+        good = decimal.has_value();
+        break;
     case setting_type::address:
         good = endpoint::parse(value, definition.name, ignored).has_value();
         break;
@@ -213,6 +235,12 @@
     return number.value_or(0);
 }
 
+double setting_values::number(std::string_view name) const {
+    const std::optional<double> value = parse_number(text(name));
+    assert(value.has_value());
+    return value.value_or(0);
+}
+
 setting_source setting_values::source(std::string_view name) const {
     const std::map<std::string, entry, std::less<>>::const_iterator found = entries_.find(name);
     assert(found != entries_.end());
--- a/gentianhill/core/setting_values.h
+++ b/gentianhill/core/setting_values.h
@@ -40,6 +40,8 @@
     [[nodiscard]] const std::string& text(std::string_view name) const;
     /// Value of an integer setting.
     [[nodiscard]] std::int64_t integer(std::string_view name) const;
+    /// Value of a number setting.
+    [[nodiscard]] double number(std::string_view name) const;
     /// Source of the value.
     [[nodiscard]] setting_source source(std::string_view name) const;
     /// Flag or environment variable to name in an error about the setting.
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -145,6 +145,8 @@
              {&configuration_watch_, &instance_watch_, &duty_watch_, &daemon_watch_}, ports_.relay, log,
              registry),
       evidence_(settings.evidence, directory_, ports_.relay, log, registry),
+      quota_(settings.quota, directory_, ports_.relay, ports_.store, log, registry, settings.incarnation,
+             ports_.now()),
       lease_(ports_.store, log, settings.lease, settings.name, settings.incarnation),
       stop_({settings.grace, balancer_delay}) {
     lease_.now = ports_.now;
@@ -160,6 +162,10 @@
     relay_.configuration = [this] { return configuration_in_effect_ ? &*configuration_in_effect_ : nullptr; };
     relay_.on_configuration = [this](const stored_object& object) { on_configuration_object(object); };
     evidence_.now = ports_.now;
+    quota_.now = ports_.now;
+    quota_.call_after = ports_.call_after;
+    quota_.find_limit = [this](const std::string& team_name) { return find_limit(team_name); };
+    quota_.has_limits = [this] { return has_limits(); };
     settings_.group.zone = settings.zone;
     for (collection_watch* watch : {&configuration_watch_, &instance_watch_, &duty_watch_, &daemon_watch_}) {
         watch->call_after = ports_.call_after;
@@ -243,6 +249,7 @@
     }
     directory_.tick(relay_.is_store_reachable());
     relay_.tick();
+    quota_.tick();
     store_calls_.tick(now);
     lease_.tick();
     observe_era();
@@ -403,11 +410,27 @@
 
 void proxy::on_relay_request(relay_request_kind kind, const nlohmann::json& message,
                              relay_answer_handler respond) {
-    if (kind == relay_request_kind::state) {
+    switch (kind) {
+    case relay_request_kind::state:
         relay_.on_request(message, std::move(respond));
-        return;
+        break;
+    case relay_request_kind::evidence:
+        on_evidence_request(message, respond);
+        break;
+    case relay_request_kind::quota_tokens:
+    case relay_request_kind::quota_shares:
+    case relay_request_kind::quota_holdings:
+        quota_.on_request(kind, message, respond);
+        break;
     }
-    on_evidence_request(message, respond);
+}
+
+std::optional<team_rate> proxy::find_limit(const std::string& /*team_name*/) const {
+    return std::nullopt;
+}
+
+bool proxy::has_limits() const {
+    return false;
 }
 
 void proxy::on_evidence_request(const nlohmann::json& message, const relay_answer_handler& respond) {
@@ -590,6 +613,7 @@
     stop_.request(ports_.now());
     directory_.remove_own_entry();
     relay_.stop();
+    quota_.stop();
     log_.write(log_level::info, "proxy", "stop_requested", {{"grace_ms", to_milliseconds(settings_.grace)}});
 }
 
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -12,6 +12,7 @@
 #include "gentianhill/proxy/failover_driver.h"
 #include "gentianhill/proxy/member_record.h"
 #include "gentianhill/proxy/term_record.h"
+#include "gentianhill/quota/team_quota.h"
 #include "gentianhill/relay/daemon_directory.h"
 #include "gentianhill/relay/relay_port.h"
 #include "gentianhill/relay/state_relay.h"
@@ -51,6 +52,7 @@
     daemon_directory_settings directory;
     state_relay_settings relay;
     zone_evidence_settings evidence;
+    quota_settings quota;
 };
 
 /// External operations used by a proxy.
@@ -129,6 +131,9 @@
     void on_configuration_object(const stored_object& object);
     void on_instance_changed(const listed_instance& listed);
     void on_evidence_request(const nlohmann::json& message, const relay_answer_handler& respond);
+    /// Limit of a team by the configuration in effect; nothing when it has none.
+    [[nodiscard]] std::optional<team_rate> find_limit(const std::string& team_name) const;
+    [[nodiscard]] bool has_limits() const;
     void apply_group_limits();
     /// Applies the ranks of this daemon among all, which decide who probes, promotes and records first.
     void apply_ranks();
@@ -172,6 +177,7 @@
     daemon_directory directory_;
     state_relay relay_;
     zone_evidence evidence_;
+    team_quota quota_;
     duty_lease lease_;
     failover_port failover_port_;
     std::map<std::string, std::unique_ptr<database_group>, std::less<>> groups_;
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -65,6 +65,14 @@
         make_integer_setting("silence_limit_ms", 4000, 1500, 60'000, "ms",
                              "Time in which a connection to the store that has gone silent must be noticed. "
                              "Longer ones cost fewer calls."));
+    result.push_back(make_number_setting("quota_window_s", "0", 0, 3600, "s",
+                                         "Sliding window in which the operations of a team are counted over "
+                                         "all daemons; 0 keeps no limits."));
+    result.push_back(make_number_setting("quota_over", "0.1", 0, 10, "",
+                                         "Part by which the operations in a window may exceed the limit of "
+                                         "the team."));
+    result.push_back(make_number_setting("quota_slack", "20", 0, 1'000'000, "operations",
+                                         "Operations in a window that may exceed the limit besides."));
     setting_definition level;
     level.name = "log_level";
     level.type = setting_type::choice;
@@ -123,6 +131,10 @@
     const duration promotion_delay = std::chrono::milliseconds(values.integer("promotion_delay_ms"));
     result.proxy.failover.promotion.trust_wait =
         std::max(result.proxy.group.trust_window - promotion_delay, duration(0)) + trust_margin;
+    result.proxy.quota.window = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(values.number("quota_window_s")));
+    result.proxy.quota.over = values.number("quota_over");
+    result.proxy.quota.slack = values.number("quota_slack");
     const duration silence_limit = std::chrono::milliseconds(values.integer("silence_limit_ms"));
     result.proxy.watch.wait = silence_limit - call_margin;
     // With both sources lost at once, a daemon has another one within the silence limit.
--- a/gentianhill/quota/allocator_claim.cpp
+++ b/gentianhill/quota/allocator_claim.cpp
@@ -20,6 +20,8 @@
 constexpr duration wish_time = 2s;
 /// Pause before a call that failed is repeated.
 constexpr duration retry_pause = 300ms;
+/// Longest duration of a call to a store that answers, though slowly.
+constexpr duration usual_call_time = 500ms;
 /// Pause between reads while another daemon holds the claim. A conditional write finds out about its renewals,
 /// so that they are not needed for safety.
 constexpr duration read_pause = 1s;
@@ -108,6 +110,16 @@
     return own_ && own_->confirmed_at && now() < *own_->confirmed_at + settings_.claim_tenure;
 }
 
+bool allocator_claim::is_at_risk() const {
+    return may_act() && now() >= *own_->confirmed_at + settings_.claim_renewal + usual_call_time;
+}
+
+void allocator_claim::end_if_lapsed() {
+    if (own_ && own_->confirmed_at && !may_act()) {
+        lose("lapsed");
+    }
+}
+
 std::optional<std::string> allocator_claim::holder() const {
     if (own_) {
         return name_;
@@ -129,7 +141,9 @@
 
 void allocator_claim::on_read(const store_answer& answer) {
     is_calling_ = false;
+    is_store_reachable_ = is_answered(answer);
     if (!is_answered(answer)) {
+        next_call_ = now() + read_pause;
         return;
     }
     if (answer.era > era_) {
@@ -228,6 +242,7 @@
 void allocator_claim::on_written(const store_answer& answer, time_point sent_at, std::uint64_t claim,
                                  const std::set<share_holder>& written) {
     is_calling_ = false;
+    is_store_reachable_ = is_answered(answer);
     next_call_ = now() + retry_pause;
     if (!own_ || own_->number != claim) {
         return;
--- a/gentianhill/quota/allocator_claim.h
+++ b/gentianhill/quota/allocator_claim.h
@@ -58,6 +58,12 @@
 
     /// True while shares may be leased. Must be checked immediately before each answer.
     [[nodiscard]] bool may_act() const;
+    /// True when the store has not confirmed the claim for longer than usual, so that it may soon end.
+    [[nodiscard]] bool is_at_risk() const;
+    /// Ends a claim that the store has not confirmed in time, so that another daemon may take over at once.
+    void end_if_lapsed();
+    /// False while the store does not answer this daemon.
+    [[nodiscard]] bool is_store_reachable() const { return is_store_reachable_; }
     /// Claim under which shares are leased.
     [[nodiscard]] std::uint64_t number() const { return own_ ? own_->number : 0; }
     /// Daemon that holds the claim, as far as known.
@@ -117,6 +123,7 @@
     time_point next_question_;
     bool is_calling_ = false;
     bool must_write_ = false;
+    bool is_store_reachable_ = true;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/gentianhill/quota/share_ledger.cpp
+++ b/gentianhill/quota/share_ledger.cpp
@@ -111,7 +111,7 @@
 }
 
 std::optional<std::vector<assigned_share>> share_ledger::assign(const shares_request& request, time_point now,
-                                                                error& reason) {
+                                                                bool is_at_risk, error& reason) {
     const share_holder holder{request.daemon, request.incarnation};
     const std::map<share_holder, lease>::const_iterator known = leases_.find(holder);
     if (known != leases_.end() && request.number <= known->second.number) {
@@ -127,7 +127,7 @@
     entry.offered_until = now + use_limit();
     std::vector<assigned_share> result;
     for (const team_holding& holding : request.teams) {
-        assigned_share assigned = assign_team(holder, entry, holding, now);
+        assigned_share assigned = assign_team(holder, entry, holding, now, is_at_risk);
         if (assigned.share.capacity > 0) {
             result.push_back(std::move(assigned));
         }
@@ -136,7 +136,7 @@
 }
 
 assigned_share share_ledger::assign_team(const share_holder& holder, lease& entry,
-                                         const team_holding& holding, time_point now) {
+                                         const team_holding& holding, time_point now, bool is_at_risk) {
     assigned_share result;
     result.team = holding.team;
     const std::optional<quota_share> total = whole(holding.team);
@@ -161,7 +161,8 @@
                              expected + std::sqrt(expected) + usual_burst};
     const quota_share least{0, std::min(min_capacity, total->capacity * max_idle_part)};
     const quota_share reserve = reserve_of(*total);
-    const quota_share target = smaller(wanted, larger(scaled(*total - reserve, weight), least));
+    const quota_share weighted = larger(scaled(*total - reserve, weight), least);
+    const quota_share target = is_at_risk ? weighted : smaller(wanted, weighted);
     const quota_share free = *total - leased_to_others(holding.team, holder, now);
     state.rest.set_share(*total - leased(holding.team, now), now);
     state.rest.add(holding.returned, now);
--- a/gentianhill/quota/share_ledger.h
+++ b/gentianhill/quota/share_ledger.h
@@ -48,9 +48,11 @@
     /// Applies a holder's report of what it holds.
     void on_report(const share_holder& holder, duration running, const std::vector<team_holding>& teams,
                    time_point now);
-    /// Leases shares for a request. Errors: superseded for a request that is older than one answered before.
+    /// Leases shares for a request; all that can be leased when the allocator `is_at_risk`, and else what
+    /// demand calls for, with the rest in reserve. Errors: superseded for a request that is older than one answered before.
     [[nodiscard]] std::optional<std::vector<assigned_share>> assign(const shares_request& request,
-                                                                    time_point now, error& reason);
+                                                                    time_point now, bool is_at_risk,
+                                                                    error& reason);
 
     /// Holders of former allocators that have not reported and may hold leases.
     [[nodiscard]] std::set<share_holder> unreported(time_point now) const;
@@ -90,7 +92,8 @@
     lease& record(const share_holder& holder, duration running, const std::vector<team_holding>& teams,
                   time_point now);
     [[nodiscard]] assigned_share assign_team(const share_holder& holder, lease& entry,
-                                             const team_holding& holding, time_point now);
+                                             const team_holding& holding, time_point now,
+                                             bool is_at_risk);
     [[nodiscard]] team_state& state_of(const std::string& team, const quota_share& total, time_point now);
 
     quota_settings settings_;
--- a/gentianhill/quota/team_quota.cpp
+++ b/gentianhill/quota/team_quota.cpp
@@ -23,6 +23,8 @@
 constexpr duration allocator_pause = 3s;
 /// Pause before the next request after one that named no allocator.
 constexpr duration search_pause = 100ms;
+/// The same after one that failed, so that few daemons call a store that is down.
+constexpr duration failed_pause = 300ms;
 /// Time after which an allocator that nobody asks ends its claim, which costs calls to the store.
 constexpr duration idle_allocator_limit = 30s;
 /// Pause between questions of a new allocator to a process that may hold shares.
@@ -355,11 +357,13 @@
         return;
     }
     shares_failed_.add();
-    pause(allocator, allocator_pause);
+    const bool lacks_store = failure.code == error_code::platform_unavailable;
+    pause(allocator, lacks_store ? settings_.failure_pause : allocator_pause);
     log_.write(log_level::warning, "quota", "allocator_failed",
                {{"allocator", allocator}, {"reason", failure.describe()}});
     counter_.on_failure(now());
-    next_allocator_request_ = now();
+    allocator_.reset();
+    next_allocator_request_ = now() + failed_pause;
 }
 
 void team_quota::on_shares_answer(const shares_answer& answer, time_point asked_at) {
@@ -392,10 +396,14 @@
     shares_answer answer;
     answer.daemon = directory_.name();
     answer.allocator = claim_.holder();
+    claim_.end_if_lapsed();
     if (!claim_.may_act()) {
-        if (!stopped_) {
-            claim_.want();
-            claim_.tick();
+        claim_.want();
+        claim_.tick();
+        if (!claim_.is_store_reachable()) {
+            // The sender turns to the next daemon.
+            reason = error{error_code::platform_unavailable, "store", "", "another daemon"};
+            return std::nullopt;
         }
         return answer;
     }
@@ -409,7 +417,7 @@
         answer.outcome = shares_outcome::not_recorded;
         return answer;
     }
-    std::optional<std::vector<assigned_share>> shares = ledger_.assign(request, current, reason);
+    std::optional<std::vector<assigned_share>> shares = ledger_.assign(request, current, claim_.is_at_risk(), reason);
     if (!shares) {
         return std::nullopt;
     }
@@ -434,6 +442,10 @@
     answer.allocates = request->awaited_claim > 0 && claim_.answer_awaiting(request->awaited_claim);
     if (request->claim > 0) {
         answer.teams = counter_.report(request->claim, now());
+        // The sender has begun to allocate.
+        allocator_ = request->daemon;
+        paused_until_.erase(request->daemon);
+        next_allocator_request_ = now();
     }
     respond(answer.to_json(), {});
 }
@@ -515,6 +527,11 @@
         respond(std::nullopt, {error_code::unknown_path, "kind", std::string(to_string(kind)), "no limits are kept"});
         return;
     }
+    // The sender turns to the next daemon at once. What this one holds is still told.
+    if (stopped_ && kind != relay_request_kind::quota_holdings) {
+        respond(std::nullopt, {error_code::draining, "daemon", directory_.name(), ""});
+        return;
+    }
     if (kind == relay_request_kind::quota_tokens) {
         on_tokens_request(message, respond);
     } else if (kind == relay_request_kind::quota_shares) {
