--- a/gentianhill/core/setting_definition.cpp
+++ b/gentianhill/core/setting_definition.cpp
@@ -18,10 +18,14 @@
 using type_name = std::pair<setting_type, std::string_view>;
 
 constexpr std::array type_names{
-    type_name{setting_type::name, "name"},           type_name{setting_type::secret, "secret"},
-    type_name{setting_type::choice, "choice"},       type_name{setting_type::integer, "integer"},
-    type_name{setting_type::number, "number"},       type_name{setting_type::address, "address"},
-    type_name{setting_type::address_list, "address list"}, type_name{setting_type::peer_list, "peer list"},
+    type_name{setting_type::name, "name"},
+    type_name{setting_type::secret, "secret"},
+    type_name{setting_type::choice, "choice"},
+    type_name{setting_type::integer, "integer"},
+    type_name{setting_type::number, "number"},
+    type_name{setting_type::address, "address"},
+    type_name{setting_type::address_list, "address list"},
+    type_name{setting_type::peer_list, "peer list"},
 };
 
 std::string default_text(const setting_definition& definition) {
--- a/gentianhill/core/setting_values.cpp
+++ b/gentianhill/core/setting_values.cpp
@@ -47,8 +47,7 @@
 std::optional<double> parse_number(std::string_view text) {
     double result = 0;
     const char* end = text.data() + text.size();
-    const std::from_chars_result parsed =
-        std::from_chars(text.data(), end, result, std::chars_format::fixed);
+    const std::from_chars_result parsed = std::from_chars(text.data(), end, result, std::chars_format::fixed);
     // "inf" and "nan" are read as numbers.
     if (parsed.ec != std::errc{} || parsed.ptr != end || !std::isfinite(result)) {
         return std::nullopt;
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -136,8 +136,8 @@
     result.proxy.failover.promotion.trust_wait =
         std::max(result.proxy.group.trust_window - promotion_delay, duration(0)) + trust_margin;
     result.proxy.key_lease = std::chrono::milliseconds(values.integer("key_lease_ms"));
-    result.proxy.quota.window = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(values.number("quota_window_s")));
+    result.proxy.quota.window =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(values.number("quota_window_s")));
     result.proxy.quota.over = values.number("quota_over");
     result.proxy.quota.slack = values.number("quota_slack");
     const duration silence_limit = std::chrono::milliseconds(values.integer("silence_limit_ms"));
--- a/gentianhill/quota/allocator_claim.cpp
+++ b/gentianhill/quota/allocator_claim.cpp
@@ -22,8 +22,8 @@
 constexpr duration retry_pause = 300ms;
 /// Longest duration of a call to a store that answers, though slowly.
 constexpr duration usual_call_time = 500ms;
-/// Pause between reads while another daemon holds the claim. A conditional write finds out about its renewals,
-/// so that they are not needed for safety.
+/// Pause between reads while another daemon holds the claim. A conditional write finds out about its
+/// renewals, so that they are not needed for safety.
 constexpr duration read_pause = 1s;
 /// Pause between questions to the holder.
 constexpr duration question_pause = 300ms;
@@ -170,8 +170,8 @@
         object_reader reader(object->content, object->name, reason);
         seen.holder = reader.text("holder", max_name_length);
         seen.incarnation = reader.text("incarnation", max_name_length);
-        seen.number = static_cast<std::uint64_t>(
-            reader.integer("claim", 0, std::numeric_limits<std::int64_t>::max()));
+        seen.number =
+            static_cast<std::uint64_t>(reader.integer("claim", 0, std::numeric_limits<std::int64_t>::max()));
         seen.is_complete = reader.boolean("complete", false);
         const nlohmann::json& list = reader.array("members");
         for (std::size_t index = 0; index < list.size() && reader.ok(); ++index) {
@@ -282,8 +282,9 @@
 }
 
 void allocator_claim::lose(std::string_view reason) {
-    log_.write(log_level::info, "quota", "allocator_ended",
-               {{"claim", own_->number}, {"reason", reason}, {"was_confirmed", own_->confirmed_at.has_value()}});
+    log_.write(
+        log_level::info, "quota", "allocator_ended",
+        {{"claim", own_->number}, {"reason", reason}, {"was_confirmed", own_->confirmed_at.has_value()}});
     own_.reset();
     observed_.reset();
     recorded_.clear();
--- a/gentianhill/quota/allocator_claim.h
+++ b/gentianhill/quota/allocator_claim.h
@@ -16,10 +16,10 @@
 
 namespace gentianhill {
 
-/// Claim to allocate the shares of teams: one object of the metadata store, written under the condition of its
-/// revision. It is renewed while it is held, and its holder may act only for `claim_tenure` after the moment
-/// at which it sent the last write that the store confirmed. Another daemon takes over when the object has
-/// not changed for that long since it read it, or when the holder has said that it will not act any more.
+/// Claim to allocate the shares of teams: one object of the metadata store, written under the condition of
+/// its revision. It is renewed while it is held, and its holder may act only for `claim_tenure` after the
+/// moment at which it sent the last write that the store confirmed. Another daemon takes over when the object
+/// has not changed for that long since it read it, or when the holder has said that it will not act any more.
 ///
 /// The object also lists the processes that may hold shares, so that the next allocator knows whom to ask.
 /// Each era of the store has an object of its own.
--- a/gentianhill/quota/quota_messages.cpp
+++ b/gentianhill/quota/quota_messages.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 3> tokens_outcome_names{"granted", "exhausted", "unassigned"};
-constexpr std::array<std::string_view, 3> shares_outcome_names{"assigned", "not_allocator", "not_recorded"};
+constexpr std::array<std::string_view, 4> shares_outcome_names{"assigned", "extended", "not_allocator",
+                                                               "not_recorded"};
 constexpr std::size_t max_name_length = 256;
 /// Teams in one message; a message of that size is below the limit of the transport.
 constexpr std::size_t max_teams = 400;
--- a/gentianhill/quota/quota_messages.h
+++ b/gentianhill/quota/quota_messages.h
@@ -99,6 +99,9 @@
 /// Result of a request for shares.
 enum class shares_outcome : std::uint8_t {
     assigned,
+    /// The receiver does not know yet what others hold, so it only extends what the sender holds. That must
+    /// not be applied after the lease has ended, since it may have been leased to others then.
+    extended,
     /// The receiver does not allocate; `allocator` may say who does.
     not_allocator,
     /// The receiver allocates, but has to record the sender first.
--- a/gentianhill/quota/share_ledger.cpp
+++ b/gentianhill/quota/share_ledger.cpp
@@ -155,7 +155,8 @@
     const double weight = demand + others > 0 ? demand / (demand + others) : 1;
     // Random arrivals exceed their mean by its root every now and then.
     const double expected = demand * (seconds(settings_.grant_life) + seconds(burst_cover));
-    const bool is_full = holding.level + holding.in_use >= full_part * holding.share.capacity && holding.share.capacity > 0;
+    const bool is_full =
+        holding.level + holding.in_use >= full_part * holding.share.capacity && holding.share.capacity > 0;
     const double least_demand = std::max(demand - full_deviations * std::sqrt(demand), 0.0);
     const quota_share wanted{is_full ? least_demand : rate_headroom * demand,
                              expected + std::sqrt(expected) + usual_burst};
@@ -204,8 +205,8 @@
     }
     // No holder has reported this team, so nothing of it was in use since all leases are known.
     team_state& added = teams_[team];
-    const time_point known_at = is_complete(now) && unreported_.empty() ? std::max(reported_at_, ended_use_end_)
-                                                                        : former_end_;
+    const time_point known_at =
+        is_complete(now) && unreported_.empty() ? std::max(reported_at_, ended_use_end_) : former_end_;
     added.rest.set_share(total, std::min(known_at, now));
     return added;
 }
--- a/gentianhill/quota/share_ledger.h
+++ b/gentianhill/quota/share_ledger.h
@@ -49,10 +49,10 @@
     void on_report(const share_holder& holder, duration running, const std::vector<team_holding>& teams,
                    time_point now);
     /// Leases shares for a request; all that can be leased when the allocator `is_at_risk`, and else what
-    /// demand calls for, with the rest in reserve. Errors: superseded for a request that is older than one answered before.
-    [[nodiscard]] std::optional<std::vector<assigned_share>> assign(const shares_request& request,
-                                                                    time_point now, bool is_at_risk,
-                                                                    error& reason);
+    /// demand calls for, with the rest in reserve. Errors: superseded for a request that is older than one
+    /// answered before.
+    [[nodiscard]] std::optional<std::vector<assigned_share>>
+    assign(const shares_request& request, time_point now, bool is_at_risk, error& reason);
 
     /// Holders of former allocators that have not reported and may hold leases.
     [[nodiscard]] std::set<share_holder> unreported(time_point now) const;
@@ -92,8 +92,7 @@
     lease& record(const share_holder& holder, duration running, const std::vector<team_holding>& teams,
                   time_point now);
     [[nodiscard]] assigned_share assign_team(const share_holder& holder, lease& entry,
-                                             const team_holding& holding, time_point now,
-                                             bool is_at_risk);
+                                             const team_holding& holding, time_point now, bool is_at_risk);
     [[nodiscard]] team_state& state_of(const std::string& team, const quota_share& total, time_point now);
 
     quota_settings settings_;
--- a/gentianhill/quota/team_quota.cpp
+++ b/gentianhill/quota/team_quota.cpp
@@ -112,12 +112,13 @@
         done(true);
         return;
     }
-    grants_.admit(caller->name, [this, caller, done, alive = std::weak_ptr<bool>(alive_)](quota_refusal refusal) {
-        if (!alive.expired()) {
-            count(caller->name, refusal);
-        }
-        done(refusal == quota_refusal::none);
-    });
+    grants_.admit(caller->name,
+                  [this, caller, done, alive = std::weak_ptr<bool>(alive_)](quota_refusal refusal) {
+                      if (!alive.expired()) {
+                          count(caller->name, refusal);
+                      }
+                      done(refusal == quota_refusal::none);
+                  });
     schedule_waits();
 }
 
@@ -300,7 +301,8 @@
         return *allocator_;
     }
     std::vector<std::string> names{directory_.name()};
-    for (const std::map<std::string, directory_entry, std::less<>>::value_type& entry : directory_.entries()) {
+    for (const std::map<std::string, directory_entry, std::less<>>::value_type& entry :
+         directory_.entries()) {
         names.push_back(entry.first);
     }
     for (const std::string& name : rendezvous_order(allocator_subject, std::move(names))) {
@@ -374,8 +376,8 @@
         return;
     }
     shares_failed_.add();
-    allocator_ = answer.outcome == shares_outcome::not_recorded ? std::optional(answer.daemon)
-                                                                : answer.allocator;
+    allocator_ =
+        answer.outcome == shares_outcome::not_recorded ? std::optional(answer.daemon) : answer.allocator;
     next_allocator_request_ = current + search_pause;
 }
 
@@ -417,11 +419,12 @@
         answer.outcome = shares_outcome::not_recorded;
         return answer;
     }
-    std::optional<std::vector<assigned_share>> shares = ledger_.assign(request, current, claim_.is_at_risk(), reason);
+    std::optional<std::vector<assigned_share>> shares =
+        ledger_.assign(request, current, claim_.is_at_risk(), reason);
     if (!shares) {
         return std::nullopt;
     }
-    answer.outcome = shares_outcome::assigned;
+    answer.outcome = ledger_.is_open(current) ? shares_outcome::assigned : shares_outcome::extended;
     answer.shares = std::move(*shares);
     shares_answered_.add();
     return answer;
@@ -524,7 +527,8 @@
 void team_quota::on_request(relay_request_kind kind, const nlohmann::json& message,
                             const relay_answer_handler& respond) {
     if (settings_.window <= duration(0)) {
-        respond(std::nullopt, {error_code::unknown_path, "kind", std::string(to_string(kind)), "no limits are kept"});
+        respond(std::nullopt,
+                {error_code::unknown_path, "kind", std::string(to_string(kind)), "no limits are kept"});
         return;
     }
     // The sender turns to the next daemon at once. What this one holds is still told.
--- a/gentianhill/quota/token_bucket.h
+++ b/gentianhill/quota/token_bucket.h
@@ -26,7 +26,8 @@
     [[nodiscard]] double level(time_point now);
     /// Tokens that may still be in use elsewhere.
     [[nodiscard]] double in_use(time_point now);
-    /// Share that is in force: its capacity is not below the tokens in use, which a lower one can't take back.
+    /// Share that is in force: its capacity is not below the tokens in use, which a lower one can't take
+    /// back.
     [[nodiscard]] quota_share effective_share(time_point now);
     [[nodiscard]] const quota_share& share() const { return share_; }
 
--- a/gentianhill/quota/zone_counter.cpp
+++ b/gentianhill/quota/zone_counter.cpp
@@ -108,7 +108,9 @@
 
 bool zone_counter::on_answer(const shares_answer& answer, time_point asked_at, time_point now) {
     const bool is_late = now - asked_at > settings_.allocator_timeout;
-    if (answer.outcome != shares_outcome::assigned || is_late || answer.claim < claim_ || released_) {
+    const bool is_leased = answer.outcome == shares_outcome::assigned ||
+                           (answer.outcome == shares_outcome::extended && now < lease_end_);
+    if (!is_leased || is_late || answer.claim < claim_ || released_) {
         on_failure(now);
         return false;
     }
--- a/gentianhill/quota/zone_counter.h
+++ b/gentianhill/quota/zone_counter.h
@@ -16,8 +16,8 @@
 
 namespace gentianhill {
 
-/// Gives the tokens of teams to the daemons of a zone, out of the shares that the allocator has leased to this
-/// process. Without a lease it has nothing to give.
+/// Gives the tokens of teams to the daemons of a zone, out of the shares that the allocator has leased to
+/// this process. Without a lease it has nothing to give.
 class zone_counter {
 public:
     zone_counter(const quota_settings& settings, std::string name, std::string incarnation,
