--- a/tests/quota/token_bucket_tests.cpp
+++ b/tests/quota/token_bucket_tests.cpp
@@ -84,7 +84,8 @@
     CHECK(bucket.take(100, 500ms, now) == 5);
 }
 
-// Guards against a burst of twice the capacity: what was given out may be spent just before the bucket is full.
+// Guards against a burst of twice the capacity: what was given out may be spent just before the bucket is
+// full.
 TEST_CASE_FIXTURE(bucket_fixture, "token_bucket_tokens_in_use_occupy_the_capacity") {
     bucket.set_share({1000, 5}, now);
     now += 1s;
