database_group: waiting statements are served by priority, target latency and timeout, and refused by estimate

One vector by priority and arrival; each waiting statement held for 0.8 of its timeout. Change: statement_queue orders; refusal on arrival and in the queue by the time for which connections are held; a learned limit of work in flight for each instance; reads cost more at a primary that others wait for; instances that fail this daemon's statements are avoided for reads and probed by reads; idle transactions are ended while statements wait for their connection. The stand-in service gets slots and failing instances.

--- a/gentianhill/admission/concurrency_limit.cpp
+++ b/gentianhill/admission/concurrency_limit.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace gentianhill {
 
 namespace {
 
 constexpr double microseconds_per_ms = 1000.0;
+/// Shortest mean latency, so that ratios stay finite.
+constexpr double min_latency_ms = 0.001;
 /// Largest reduction of one adjustment.
 constexpr double min_gradient = 0.5;
 
@@ -32,54 +35,45 @@
 
 void concurrency_limit::on_answered(std::int64_t kind, duration latency, std::size_t in_flight,
                                     time_point now) {
+    if (now - period_start_ >= settings_.memory) {
+        start_period(now);
+    }
     kind_latency& measured = kinds_[kind];
     measured.window_sum_ms += static_cast<double>(latency.count()) / microseconds_per_ms;
     ++measured.window_count;
-    ++answered_;
-    highest_in_flight_ = std::max(highest_in_flight_, in_flight);
-    if (answered_ >= settings_.window) {
-        adjust(now);
+    measured.highest_in_flight = std::max(measured.highest_in_flight, in_flight);
+    if (measured.window_count >= settings_.window) {
+        adjust(measured);
     }
 }
 
-void concurrency_limit::adjust(time_point now) {
-    if (now - period_start_ >= settings_.memory) {
-        start_period(now);
-    }
-    double measured_ms = 0.0;
-    double best_ms = 0.0;
-    for (std::pair<const std::int64_t, kind_latency>& entry : kinds_) {
-        kind_latency& kind = entry.second;
-        if (kind.window_count == 0) {
-            continue;
-        }
-        const double mean_ms = kind.window_sum_ms / static_cast<double>(kind.window_count);
-        kind.best_ms = std::min(kind.best_ms.value_or(mean_ms), mean_ms);
-        measured_ms += kind.window_sum_ms;
-        best_ms += std::min(*kind.best_ms, kind.former_best_ms.value_or(*kind.best_ms)) *
-                   static_cast<double>(kind.window_count);
-        kind.window_sum_ms = 0.0;
-        kind.window_count = 0;
-    }
+void concurrency_limit::adjust(kind_latency& kind) {
+    const double mean_ms = kind.window_sum_ms / static_cast<double>(kind.window_count);
+    kind.best_ms = std::min(kind.best_ms.value_or(mean_ms), mean_ms);
+    const double best_ms = std::min(*kind.best_ms, kind.former_best_ms.value_or(*kind.best_ms));
     const double gradient =
-        std::clamp(settings_.tolerance * best_ms / std::max(measured_ms, 0.001), min_gradient, 1.0);
+        std::clamp(settings_.tolerance * best_ms / std::max(mean_ms, min_latency_ms), min_gradient, 1.0);
     // A limit that is not reached says nothing about what the instance bears.
-    const bool is_used = highest_in_flight_ + 1 >= limit();
+    const bool is_used = kind.highest_in_flight + 1 >= limit();
     if (gradient < 1.0) {
         limit_ *= gradient;
     } else if (is_used) {
         limit_ += 1.0;
     }
     limit_ = std::clamp(limit_, static_cast<double>(settings_.floor), static_cast<double>(settings_.ceiling));
-    answered_ = 0;
-    highest_in_flight_ = 0;
+    kind.window_sum_ms = 0.0;
+    kind.window_count = 0;
+    kind.highest_in_flight = 0;
 }
 
 void concurrency_limit::start_period(time_point now) {
     period_start_ = now;
-    for (std::pair<const std::int64_t, kind_latency>& entry : kinds_) {
-        entry.second.former_best_ms = entry.second.best_ms;
-        entry.second.best_ms.reset();
+    for (std::map<std::int64_t, kind_latency>::iterator entry = kinds_.begin(); entry != kinds_.end();) {
+        kind_latency& kind = entry->second;
+        kind.former_best_ms = kind.best_ms;
+        kind.best_ms.reset();
+        // Kinds without answers are forgotten, as routes come and go.
+        entry = kind.former_best_ms || kind.window_count > 0 ? std::next(entry) : kinds_.erase(entry);
     }
 }
 
--- a/gentianhill/admission/concurrency_limit.h
+++ b/gentianhill/admission/concurrency_limit.h
@@ -15,7 +15,8 @@
     std::size_t floor = 1;
     /// Upper bound of the limit.
     std::size_t ceiling = 8;
-    /// Answers that make one adjustment. Work per statement varies by several times, so fewer say little.
+    /// Answers of a kind that make one adjustment. Work per statement varies by several times, so fewer say
+    /// little.
     std::size_t window = 24;
     /// Latency, as a multiple of the best, up to which the limit grows: queueing for about one more
     /// statement keeps the slots filled while answers are in transit.
@@ -50,19 +51,19 @@
     struct kind_latency {
         double window_sum_ms = 0.0;
         std::size_t window_count = 0;
+        std::size_t highest_in_flight = 0;
         /// Best mean of a window, in this period of `memory` and in the one before.
         std::optional<double> best_ms;
         std::optional<double> former_best_ms;
     };
 
-    void adjust(time_point now);
+    /// Adjusts the limit by a complete window.
+    void adjust(kind_latency& kind);
     void start_period(time_point now);
 
     concurrency_limit_settings settings_;
     double limit_;
     std::map<std::int64_t, kind_latency> kinds_;
-    std::size_t answered_ = 0;
-    std::size_t highest_in_flight_ = 0;
     time_point period_start_;
     time_point reduced_at_;
 };
--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -68,6 +68,9 @@
         pinned_attempts_ = 0;
         busy_since_.reset();
         if (transaction_) {
+            if (transaction_->connection != nullptr) {
+                transaction_->group->on_transaction_pause(received_at_ - transaction_->last_activity);
+            }
             transaction_->last_activity = received_at_;
         }
         run(current_);
@@ -522,6 +525,10 @@
                 {{"group", transaction_->selected_route->group}, {"limit_ms", to_milliseconds(limit)}});
             release_pinned();
             transaction_->failed = true;
+        } else if (transaction_->connection != nullptr &&
+                   transaction_->group->ends_idle_transaction(*transaction_->connection, limit,
+                                                              now - transaction_->last_activity)) {
+            end_transaction();
         }
         return;
     }
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -1,6 +1,7 @@
 #include "gentianhill/proxy/database_group.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <utility>
 
@@ -76,6 +77,15 @@
 constexpr double connection_share = 0.85;
 /// Statements in flight beyond the instance's slots, to keep it busy while answers are in transit.
 constexpr std::size_t in_flight_reserve = 2;
+/// Cost added for an instance without a free connection; above any difference in latency.
+constexpr double microseconds_per_ms = 1000.0;
+constexpr double full_cost_ms = 1000.0;
+/// Cost added for an instance that fails statements, in ms: it is used only while the others are full.
+constexpr double avoided_cost_ms = 500.0;
+/// Share of a route's timeout after which a statement that still waits for a connection is refused.
+constexpr double queue_share = 0.8;
+/// Interval of the checks whether the waiting statements can still be served; a few per target latency.
+constexpr duration queue_check_interval = 50ms;
 
 } // namespace
 
@@ -83,6 +93,16 @@
     : statements(registry.add_counter("gentianhill_statements_total", "Statements answered.")),
       refused(
           registry.add_counter("gentianhill_statements_refused_total", "Statements answered as not run.")),
+      refused_on_arrival(registry.add_counter("gentianhill_statements_refused_on_arrival_total",
+                                              "Statements refused because the queue ahead is too long.")),
+      refused_in_queue(
+          registry.add_counter("gentianhill_statements_refused_in_queue_total",
+                               "Waiting statements refused because others are served before them.")),
+      idle_transactions_ended(
+          registry.add_counter("gentianhill_idle_transactions_ended_total",
+                               "Idle transactions ended because statements waited for their connection.")),
+      waiting(registry.add_gauge("gentianhill_waiting_statements",
+                                 "Statements that wait for a connection, at the last periodic check.")),
       in_doubt(
           registry.add_counter("gentianhill_statements_in_doubt_total", "Changes with unknown outcome.")),
       repeated(registry.add_counter("gentianhill_attempts_repeated_total", "Attempts that were repeated.")),
@@ -116,7 +136,7 @@
 
 database_group::~database_group() {
     // Tasks are destroyed first, since they use connections owned by the instances.
-    waiting_.clear();
+    queued_tasks_.clear();
 }
 
 void database_group::update_instance(const listed_instance& listed) {
@@ -219,11 +239,15 @@
     return primary_id_.empty() ? nullptr : find(primary_id_);
 }
 
-placement database_group::place(const placement_query& query) {
+statement_lane database_group::lane_of(const placement_query& query) {
     const bool reads_replica =
         (query.access == access_kind::read || query.access == access_kind::read_transaction) &&
         query.consistency != consistency_level::latest;
-    return reads_replica ? place_read(query) : place_at_primary(query);
+    return reads_replica ? statement_lane::any_instance : statement_lane::primary;
+}
+
+placement database_group::place(const placement_query& query) {
+    return lane_of(query) == statement_lane::any_instance ? place_read(query) : place_at_primary(query);
 }
 
 placement database_group::place_at_primary(const placement_query& query) {
@@ -312,9 +336,10 @@
             static_cast<void>(instance.open_more(1));
             continue;
         }
-        const bool full = instance.in_flight() >= instance.limits().max_in_flight ||
-                          (!instance.has_idle() && !instance.open_more(1));
-        const double total_cost = cost(instance, min_position) + (full ? 1000.0 : 0.0);
+        const bool full = !instance.has_room() || (!instance.has_idle() && !instance.open_more(1));
+        const bool probes =
+            query.access == access_kind::read && instance.has_idle() && instance.errors().is_probe_due(now());
+        const double total_cost = (probes ? 0.0 : cost(instance, min_position)) + (full ? full_cost_ms : 0.0);
         const bool is_excluded = std::find(query.excluded_instances->begin(), query.excluded_instances->end(),
                                            entry.first) != query.excluded_instances->end();
         if (is_excluded) {
@@ -327,7 +352,11 @@
             best_cost = total_cost;
         }
     }
-    return best != nullptr ? best : best_excluded;
+    proxy_instance* chosen = best != nullptr ? best : best_excluded;
+    if (chosen != nullptr && chosen->errors().is_avoided()) {
+        chosen->errors().on_probe(now());
+    }
+    return chosen;
 }
 
 double database_group::cost(const proxy_instance& instance, const log_position& min_position) const {
@@ -336,7 +365,10 @@
         expected_cost += settings_.other_zone_ms;
     }
     if (!instance.has_idle()) {
-        expected_cost += settings_.opening_ms;
+        // Those that wait already take the connections that are opened first.
+        const double turns = static_cast<double>(queue_.size(statement_lane::any_instance)) /
+                             static_cast<double>(instance.limits().max_opening);
+        expected_cost += settings_.opening_ms * std::max(turns, 1.0);
     }
     if (!instance.position() || *instance.position() < min_position) {
         expected_cost += settings_.lagging_ms;
@@ -344,6 +376,15 @@
     if (is_witness(instance) && unconfirmed_.ask_at()) {
         expected_cost -= receipt_bonus_ms;
     }
+    if (instance.errors().is_avoided()) {
+        expected_cost += avoided_cost_ms;
+    }
+    // Writes and reads of the latest state have no other instance.
+    if (instance.listed().id == primary_id_) {
+        const bool is_nearly_full = instance.in_flight() + 1 >= instance.in_flight_limit();
+        const std::size_t displaced = queue_.size(statement_lane::primary) + (is_nearly_full ? 1 : 0);
+        expected_cost += static_cast<double>(displaced) * instance.expected_ms();
+    }
     return expected_cost;
 }
 
@@ -351,46 +392,188 @@
                                           std::optional<log_position> min_position) {
     pooled_connection* connection = instance.take(*query.session);
     if (connection == nullptr) {
-        static_cast<void>(instance.open_more(waiting_.size() + 1));
+        static_cast<void>(instance.open_more(queue_.size() + 1));
         return {nullptr, std::nullopt, placement_wait::no_connection};
     }
     return {connection, min_position, placement_wait::none};
 }
 
+queued_statement database_group::describe(const statement_task& task) const {
+    const statement_task::request& request = task.task_request();
+    const route& selected = *request.selected_route;
+    queued_statement described;
+    described.priority = selected.priority;
+    described.lane = lane_of(task.query());
+    const duration service = expected_service(described.lane);
+    const duration longest_wait(
+        static_cast<duration::rep>(static_cast<double>(selected.timeout.count()) * queue_share));
+    described.target_start = request.begun_at + selected.target_latency - service;
+    described.last_start = request.received_at + std::min(longest_wait, selected.timeout - service);
+    described.cost_ms = static_cast<double>(service.count()) / microseconds_per_ms;
+    return described;
+}
+
 void database_group::enqueue(const std::shared_ptr<statement_task>& task) {
-    const std::vector<std::shared_ptr<statement_task>>::iterator place = std::upper_bound(
-        waiting_.begin(), waiting_.end(), task,
-        [](const std::shared_ptr<statement_task>& a, const std::shared_ptr<statement_task>& b) {
-            if (a->task_request().selected_route->priority != b->task_request().selected_route->priority) {
-                return a->task_request().selected_route->priority <
-                       b->task_request().selected_route->priority;
-            }
-            return a->task_request().received_at < b->task_request().received_at;
-        });
-    waiting_.insert(place, task);
+    dequeue(*task);
+    const statement_queue::push_result result = queue_.push(describe(*task));
+    if (result.displaced) {
+        refuse_displaced(*result.displaced);
+    }
+    if (!result.added) {
+        counters_.refused_on_arrival.add();
+        log_refusal(*task, "queue_full", queue_.size(), duration(0));
+        task->refuse_unservable();
+        return;
+    }
+    task->set_queue_entry(*result.added);
+    queued_tasks_.emplace(*result.added, task);
+}
+
+void database_group::refuse_displaced(statement_queue::entry_id id) {
+    const std::unordered_map<statement_queue::entry_id, std::shared_ptr<statement_task>>::iterator found =
+        queued_tasks_.find(id);
+    if (found == queued_tasks_.end()) {
+        return;
+    }
+    const std::shared_ptr<statement_task> displaced = found->second;
+    queued_tasks_.erase(found);
+    if (displaced->is_waiting() && displaced->may_be_refused()) {
+        counters_.refused_in_queue.add();
+        log_refusal(*displaced, "displaced_from_queue", queue_.size(), duration(0));
+        displaced->refuse_unservable();
+    }
+}
+
+void database_group::refuse_if_unservable(const std::shared_ptr<statement_task>& task) {
+    if (!task->is_waiting() || !task->may_be_refused() ||
+        task->wait_reason() != placement_wait::no_connection) {
+        return;
+    }
+    const queued_statement described = describe(*task);
+    const std::size_t with_itself = queue_.ahead_of(described, now());
+    const std::size_t ahead = with_itself - std::min<std::size_t>(with_itself, 1);
+    const double rate = service_rate(described.lane);
+    const duration wait = expected_wait(ahead, rate);
+    // The first one gets the next connection. Without a usable instance, the wait depends on its return.
+    if (ahead == 0 || rate <= 0 || now() + wait <= described.last_start) {
+        return;
+    }
+    counters_.refused_on_arrival.add();
+    log_refusal(*task, "refused_on_arrival", ahead, wait);
+    task->refuse_unservable();
+}
+
+void database_group::dequeue(statement_task& task) {
+    const statement_queue::entry_id id = task.queue_entry();
+    const std::unordered_map<statement_queue::entry_id, std::shared_ptr<statement_task>>::iterator found =
+        queued_tasks_.find(id);
+    if (found == queued_tasks_.end()) {
+        return;
+    }
+    static_cast<void>(queue_.remove(id));
+    queued_tasks_.erase(found);
 }
 
 void database_group::place_waiting_tasks() {
     // Reentrant call from a task that is being placed; the outer call continues with the remaining tasks.
-    if (placing_tasks_) {
+    if (placing_tasks_ || queue_.size() == 0) {
         return;
     }
     placing_tasks_ = true;
-    std::vector<std::shared_ptr<statement_task>> tried;
-    tried.swap(waiting_);
-    std::vector<std::shared_ptr<statement_task>> still_waiting;
-    for (const std::shared_ptr<statement_task>& task : tried) {
-        if (!task->is_finished() && !task->try_place()) {
-            still_waiting.push_back(task);
+    queue_.offer(now(), [this](statement_queue::entry_id id) { return offer_connection(id); });
+    placing_tasks_ = false;
+}
+
+offer_result database_group::offer_connection(statement_queue::entry_id id) {
+    const std::unordered_map<statement_queue::entry_id, std::shared_ptr<statement_task>>::iterator found =
+        queued_tasks_.find(id);
+    const std::shared_ptr<statement_task> task = found == queued_tasks_.end() ? nullptr : found->second;
+    if (task == nullptr || !task->is_waiting()) {
+        queued_tasks_.erase(id);
+        static_cast<void>(queue_.remove(id));
+        return offer_result::left_queue;
+    }
+    if (task->try_place()) {
+        queued_tasks_.erase(id);
+        return offer_result::left_queue;
+    }
+    // Others of the lane may use an instance that this one avoids.
+    return task->wait_reason() == placement_wait::no_connection && !task->avoids_instances()
+               ? offer_result::lane_is_full
+               : offer_result::waits;
+}
+
+double database_group::service_rate(statement_lane lane) const {
+    double rate = 0.0;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        const proxy_instance& instance = *entry.second;
+        const bool is_primary = entry.first == primary_id_;
+        // While statements wait for the primary alone, it serves those.
+        const bool serves_lane =
+            lane == statement_lane::primary
+                ? is_primary
+                : !instance.listed().draining && (!is_primary || queue_.size(statement_lane::primary) == 0);
+        if (serves_lane && instance.is_usable()) {
+            rate += instance.service_rate();
         }
     }
-    // Merge the tasks that were enqueued meanwhile, in priority order.
-    const std::vector<std::shared_ptr<statement_task>> added = std::move(waiting_);
-    waiting_ = std::move(still_waiting);
-    for (const std::shared_ptr<statement_task>& task : added) {
-        enqueue(task);
+    return rate;
+}
+
+duration database_group::expected_service(statement_lane lane) const {
+    std::optional<duration> shortest;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        if (lane == statement_lane::any_instance || entry.first == primary_id_) {
+            const duration expected = entry.second->expected_service();
+            shortest = std::min(shortest.value_or(expected), expected);
+        }
     }
-    placing_tasks_ = false;
+    return shortest.value_or(duration(0));
+}
+
+void database_group::refuse_unservable_tasks(time_point current) {
+    if (current - last_queue_check_ < queue_check_interval) {
+        return;
+    }
+    last_queue_check_ = current;
+    if (queue_.size() == 0) {
+        return;
+    }
+    const std::array<double, statement_lanes> rates{service_rate(statement_lane::primary),
+                                                    service_rate(statement_lane::any_instance)};
+    const std::vector<statement_queue::entry_id> unservable =
+        queue_.find_unservable(current, [&rates](statement_lane lane, std::size_t ahead) {
+            const double rate = rates.at(static_cast<std::size_t>(lane));
+            return rate > 0 ? expected_wait(ahead, rate) : duration(0);
+        });
+    for (const statement_queue::entry_id id : unservable) {
+        const std::unordered_map<statement_queue::entry_id, std::shared_ptr<statement_task>>::iterator found =
+            queued_tasks_.find(id);
+        if (found == queued_tasks_.end()) {
+            continue;
+        }
+        const std::shared_ptr<statement_task> task = found->second;
+        if (task->is_waiting() && task->may_be_refused() &&
+            task->wait_reason() == placement_wait::no_connection) {
+            counters_.refused_in_queue.add();
+            log_refusal(*task, "refused_in_queue", queue_.size(), current - task->task_request().received_at);
+            task->refuse_unservable();
+        }
+    }
+}
+
+void database_group::log_refusal(const statement_task& task, std::string_view event, std::size_t ahead,
+                                 duration wait) {
+    const statement_task::request& request = task.task_request();
+    log_.write(log_level::info, "statement", event,
+               {{"id", request.client_statement.id},
+                {"group", name_},
+                {"route", request.selected_route->name},
+                {"priority", request.selected_route->priority},
+                {"ahead", ahead},
+                {"waiting", queue_.size()},
+                {"wait_ms", to_milliseconds(wait)},
+                {"timeout_ms", to_milliseconds(request.selected_route->timeout)}});
 }
 
 void database_group::track(const std::shared_ptr<statement_task>& task) {
@@ -399,10 +582,14 @@
 
 void database_group::refuse_new_attempts() {
     accepts_attempts_ = false;
-    // Copied, since a task that finishes may start another one.
-    const std::vector<std::shared_ptr<statement_task>> tasks = waiting_;
-    for (const std::shared_ptr<statement_task>& task : tasks) {
-        task->refuse_waiting();
+    // Listed first, since a task that finishes may start another one.
+    for (const statement_queue::entry_id id : queue_.ids()) {
+        const std::unordered_map<statement_queue::entry_id, std::shared_ptr<statement_task>>::iterator found =
+            queued_tasks_.find(id);
+        if (found != queued_tasks_.end()) {
+            const std::shared_ptr<statement_task> task = found->second;
+            task->refuse_waiting();
+        }
     }
 }
 
@@ -452,6 +639,30 @@
                     [target = &connection](instance_answer&) { target->owner().return_to_pool(*target); });
 }
 
+bool database_group::ends_idle_transaction(const pooled_connection& connection, duration configured,
+                                           duration idle_time) {
+    const proxy_instance& instance = connection.owner();
+    const bool is_primary = instance.listed().id == primary_id_;
+    const std::size_t waiting =
+        queue_.size(statement_lane::any_instance) + (is_primary ? queue_.size(statement_lane::primary) : 0);
+    if (idle_endings_left_ == 0 || waiting == 0 || !instance.is_out_of_connections()) {
+        return false;
+    }
+    const duration limit = idle_policy_.limit(configured, true);
+    if (limit <= duration(0) || idle_time <= limit) {
+        return false;
+    }
+    --idle_endings_left_;
+    counters_.idle_transactions_ended.add();
+    log_.write(log_level::info, "transaction", "ended_for_waiting_statements",
+               {{"group", name_},
+                {"instance", instance.listed().id},
+                {"idle_ms", to_milliseconds(idle_time)},
+                {"limit_ms", to_milliseconds(limit)},
+                {"waiting", waiting}});
+    return true;
+}
+
 void database_group::confirm_commit(proxy_instance& instance, const statement_result& result,
                                     time_point sent_at, duration target_latency,
                                     const unconfirmed_commits::handler& done) {
@@ -1187,6 +1398,9 @@
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
         entry.second->tick();
     }
+    idle_endings_left_ = queue_.size();
+    counters_.waiting.add(static_cast<double>(queue_.size()) - counted_waiting_);
+    counted_waiting_ = static_cast<double>(queue_.size());
     probe_primary(current);
     proxy_instance* leader = primary();
     outage_estimator_.update(leader != nullptr && leader->is_usable(), current);
@@ -1203,6 +1417,7 @@
     check_recovery(current);
     answer_zone_requests();
     tick_tasks(current);
+    refuse_unservable_tasks(current);
     place_waiting_tasks();
 }
 
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gentianhill/admission/idle_transaction_policy.h"
+#include "gentianhill/admission/statement_queue.h"
 #include "gentianhill/core/logger.h"
 #include "gentianhill/core/metrics.h"
 #include "gentianhill/failover/former_primary.h"
@@ -25,6 +27,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace gentianhill {
@@ -55,6 +59,10 @@
 
     counter& statements;
     counter& refused;
+    counter& refused_on_arrival;
+    counter& refused_in_queue;
+    counter& idle_transactions_ended;
+    gauge& waiting;
     counter& in_doubt;
     counter& repeated;
     counter& second_reads;
@@ -123,8 +131,15 @@
     /// Selects an instance for a statement and takes a connection to it.
     [[nodiscard]] placement place(const placement_query& query);
     /// Queues a task; placement is retried whenever a connection, read point or evidence may have become
-    /// available.
+    /// available. Refuses it if the queue is full.
     void enqueue(const std::shared_ptr<statement_task>& task);
+    /// Refuses a task that waits for a connection if, by the measured service times, those that are served
+    /// before it leave no time for it.
+    void refuse_if_unservable(const std::shared_ptr<statement_task>& task);
+    /// Removes a task from the queue, if it waits there.
+    void dequeue(statement_task& task);
+    /// True if statements wait, which may have to be served before a new one.
+    [[nodiscard]] bool has_waiting_tasks() const { return queue_.size() > 0; }
     /// Calls the task's tick() until it is finished.
     void track(const std::shared_ptr<statement_task>& task);
     /// Sends setup steps; `done` receives whether all of them were acknowledged.
@@ -134,6 +149,12 @@
     void place_waiting_tasks();
     /// Time after which the instances are asked as well when the zone has not answered.
     static constexpr duration zone_patience = std::chrono::milliseconds(8);
+    /// Records a pause of a client inside a transaction, which ended with its next statement.
+    void on_transaction_pause(duration pause) { idle_policy_.on_pause(pause); }
+    /// True if a transaction that has been idle for `idle_time` is to be ended because statements wait for a
+    /// connection of its instance. `configured` is the operator's limit. No more are ended than wait.
+    [[nodiscard]] bool ends_idle_transaction(const pooled_connection& connection, duration configured,
+                                             duration idle_time);
     /// Returns a connection to its pool, after a rollback if a transaction is open on it.
     void return_connection(pooled_connection& connection);
     /// Confirms a write or commit, sent at `sent_at`, that an instance acknowledged. `done` is called once
@@ -197,6 +218,20 @@
     [[nodiscard]] logger& log() { return log_; }
 
 private:
+    /// Instances that can serve a statement.
+    [[nodiscard]] static statement_lane lane_of(const placement_query& query);
+    [[nodiscard]] queued_statement describe(const statement_task& task) const;
+    /// Tries to place a task of the queue.
+    [[nodiscard]] offer_result offer_connection(statement_queue::entry_id id);
+    /// Connections that become free for a lane, per second; zero while no instance is usable.
+    [[nodiscard]] double service_rate(statement_lane lane) const;
+    /// Expected time from sending a statement to its answer.
+    [[nodiscard]] duration expected_service(statement_lane lane) const;
+    /// Refuses the waiting statements that other ones will keep from being served in time.
+    void refuse_unservable_tasks(time_point current);
+    /// Refuses a statement that had to leave the full queue.
+    void refuse_displaced(statement_queue::entry_id id);
+    void log_refusal(const statement_task& task, std::string_view event, std::size_t ahead, duration wait);
     [[nodiscard]] placement place_at_primary(const placement_query& query);
     [[nodiscard]] placement place_read(const placement_query& query);
     [[nodiscard]] proxy_instance* choose(const placement_query& query, const log_position& min_position);
@@ -330,7 +365,14 @@
     time_point last_settlement_poll_;
     primary_failure_detector failure_detector_;
 
-    std::vector<std::shared_ptr<statement_task>> waiting_;
+    statement_queue queue_;
+    std::unordered_map<statement_queue::entry_id, std::shared_ptr<statement_task>> queued_tasks_;
+    time_point last_queue_check_;
+    idle_transaction_policy idle_policy_;
+    /// Idle transactions that may still be ended before the next tick.
+    std::size_t idle_endings_left_ = 0;
+    /// Waiting statements that this group has added to the metric.
+    double counted_waiting_ = 0;
     std::vector<std::weak_ptr<statement_task>> active_;
     bool placing_tasks_ = false;
     bool accepts_attempts_ = true;
--- a/gentianhill/proxy/pooled_connection.cpp
+++ b/gentianhill/proxy/pooled_connection.cpp
@@ -17,7 +17,8 @@
 
 void pooled_connection::send(const instance_command& command, answer_handler done) {
     assert(open_);
-    pending_.push_back({command.kind, owner_.now(), command.changes_data, command.term, std::move(done)});
+    pending_.push_back({command.kind, owner_.now(), command.changes_data, command.term, 0, std::move(done)});
+    pending_.back().in_flight = owner_.in_flight();
     link_->send(command);
 }
 
@@ -109,6 +110,7 @@
     const pending_command answered = std::move(pending_.front());
     pending_.pop_front();
     state_ = answer.result.state;
+    owner_.learn(*this, answered, answer);
     owner_.on_answer(answered.kind, answered.sent_at, answer);
     if (answered.done) {
         answered.done(answer);
--- a/gentianhill/proxy/pooled_connection.h
+++ b/gentianhill/proxy/pooled_connection.h
@@ -53,6 +53,8 @@
     /// Time at which the oldest unanswered command was sent.
     [[nodiscard]] std::optional<time_point> waiting_since() const;
 
+    /// Identifies the work of its statements, so that their latencies are compared with their like.
+    std::int64_t work_kind = 0;
     /// Session values and prepared statements currently set on the connection.
     connection_state setup;
     /// Called when the connection ends while in use; the connection is destroyed afterwards.
@@ -65,6 +67,8 @@
         time_point sent_at;
         bool changes_data = false;
         term_number term = 0;
+        /// Connections with unanswered commands when it was sent, with its own.
+        std::size_t in_flight = 0;
         answer_handler done;
     };
 
@@ -88,6 +92,8 @@
     transaction_state state_ = transaction_state::idle;
     time_point opened_at_;
     time_point last_used_;
+    /// Time at which its present user has taken it.
+    std::optional<time_point> taken_at_;
     time_point rests_until_;
     bool needs_setup_ = false;
     std::optional<instance_answer> held_refusal_;
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -17,12 +17,25 @@
 /// Half-life of the estimate without answers, so that an instance that was slow is tried again.
 constexpr double latency_half_life_ms = 2000.0;
 constexpr double microseconds_per_ms = 1000.0;
+constexpr double microseconds_per_second = 1'000'000.0;
 
 std::uint64_t next_connection_number() {
     static std::uint64_t last = 0;
     return ++last;
 }
 
+concurrency_limit_settings limit_settings(const instance_pool_settings& settings) {
+    concurrency_limit_settings limits;
+    limits.ceiling = settings.max_in_flight;
+    return limits;
+}
+
+/// Number that distinguishes statements by their route and kind.
+std::int64_t work_of(const pooled_connection& connection, command_kind kind) {
+    constexpr std::int64_t kinds = 16;
+    return connection.work_kind * kinds + static_cast<std::int64_t>(kind);
+}
+
 bool is_statement(command_kind kind) {
     return kind == command_kind::read || kind == command_kind::write || kind == command_kind::execute ||
            kind == command_kind::commit;
@@ -38,6 +51,7 @@
       settings_(settings),
       clock_(std::move(clock)),
       latency_ms_(initial_latency_ms),
+      limit_(limit_settings(settings)),
       listed_since_(clock_()),
       last_answer_(listed_since_),
       open_backoff_(settings.min_open_backoff) {}
@@ -51,10 +65,16 @@
         close_all();
         position_.reset();
         repeats_answers_ = false;
+        errors_.reset();
         listed_since_ = now();
     }
 }
 
+void proxy_instance::set_limits(const instance_pool_settings& settings) {
+    settings_ = settings;
+    limit_.set_bounds(1, settings.max_in_flight);
+}
+
 void proxy_instance::close_all() {
     while (!connections_.empty()) {
         drop(*connections_.back(), disconnect_reason::closed_locally);
@@ -82,7 +102,7 @@
 }
 
 pooled_connection* proxy_instance::take(const session_state& session) {
-    if (in_flight() >= settings_.max_in_flight) {
+    if (!has_room()) {
         return nullptr;
     }
     pooled_connection* best = nullptr;
@@ -104,6 +124,7 @@
     if (best != nullptr) {
         best->used_ = true;
         best->last_used_ = now();
+        best->taken_at_ = best->last_used_;
     }
     return best;
 }
@@ -236,6 +257,86 @@
     }
 }
 
+void proxy_instance::learn(const pooled_connection& connection,
+                           const pooled_connection::pending_command& answered,
+                           const instance_answer& answer) {
+    if (!is_statement(answered.kind)) {
+        return;
+    }
+    const std::size_t former_limit = limit_.limit();
+    switch (answer.result.outcome) {
+    case statement_outcome::done:
+        limit_.on_answered(work_of(connection, answered.kind), now() - answered.sent_at, answered.in_flight,
+                           now());
+        record_error(false);
+        break;
+    case statement_outcome::busy:
+        limit_.on_busy(now());
+        break;
+    case statement_outcome::failed:
+    case statement_outcome::timed_out:
+        record_error(true);
+        break;
+    default:
+        break;
+    }
+    const std::size_t limit = limit_.limit();
+    if (limit != former_limit && (limit == 1 || limit == settings_.max_in_flight)) {
+        log_.write(log_level::info, "instance", "in_flight_limit",
+                   {{"instance", listed_.id},
+                    {"group", listed_.group},
+                    {"limit", limit},
+                    {"ceiling", settings_.max_in_flight}});
+    }
+}
+
+void proxy_instance::record_error(bool failed) {
+    if (errors_.on_result(failed, now())) {
+        log_.write(
+            log_level::info, "instance", errors_.is_avoided() ? "avoided_for_errors" : "errors_ended",
+            {{"instance", listed_.id}, {"group", listed_.group}, {"error_rate", errors_.error_rate()}});
+    }
+}
+
+void proxy_instance::record_release(pooled_connection& connection) {
+    if (connection.taken_at_) {
+        estimate_.on_released(now() - *connection.taken_at_);
+        connection.taken_at_.reset();
+    }
+}
+
+double proxy_instance::service_rate() const {
+    const time_point current = now();
+    std::size_t open = 0;
+    std::size_t taken = 0;
+    duration ages{0};
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        open += connection->open_ ? 1U : 0U;
+        if (connection->taken_at_) {
+            ++taken;
+            ages += current - *connection->taken_at_;
+        }
+    }
+    // Further connections can be opened unless the instance refuses them.
+    const bool may_open = open_backoff_ <= settings_.min_open_backoff;
+    const std::size_t usable = may_open ? std::max(open, settings_.max_connections) : open;
+    const duration mean_age = taken > 0 ? ages / static_cast<duration::rep>(taken) : duration(0);
+    const double by_limit = static_cast<double>(in_flight_limit()) * microseconds_per_second /
+                            static_cast<double>(expected_service().count());
+    return std::min(estimate_.rate_per_second(usable, mean_age), by_limit);
+}
+
+bool proxy_instance::is_out_of_connections() const {
+    // An instance that refuses connections has given all that it has.
+    const bool may_open =
+        connections_.size() < settings_.max_connections && open_backoff_ <= settings_.min_open_backoff;
+    return !has_idle() && !may_open;
+}
+
+duration proxy_instance::expected_service() const {
+    return duration(static_cast<duration::rep>(std::max(latency_ms_, 1.0) * microseconds_per_ms));
+}
+
 void proxy_instance::record_latency(time_point sent_at) {
     const double sample = static_cast<double>((now() - sent_at).count()) / microseconds_per_ms;
     latency_ms_ += latency_weight * (sample - latency_ms_);
@@ -301,6 +402,7 @@
     if (!connection.open_) {
         return;
     }
+    record_release(connection);
     if (connection.has_unanswered() || connection.state_ != transaction_state::idle ||
         !is_reusable(connection)) {
         drop(connection, disconnect_reason::closed_locally);
@@ -332,6 +434,10 @@
     if (dropped == nullptr) {
         return;
     }
+    record_release(*dropped);
+    if (dropped->open_ && dropped->used_ && dropped->has_unanswered() && reason == disconnect_reason::lost) {
+        record_error(true);
+    }
     if (!dropped->open_) {
         next_open_at_ = now() + open_backoff_;
         open_backoff_ = std::min(open_backoff_ * 2, settings_.max_open_backoff);
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "gentianhill/admission/concurrency_limit.h"
+#include "gentianhill/admission/error_avoidance.h"
+#include "gentianhill/admission/service_estimate.h"
 #include "gentianhill/core/logger.h"
 #include "gentianhill/core/time.h"
 #include "gentianhill/proxy/instance_link.h"
@@ -73,7 +76,7 @@
     /// Applies a changed entry; closes all connections if the address or start time has changed.
     void update(const listed_instance& listed);
     /// Changes the limits.
-    void set_limits(const instance_pool_settings& settings) { settings_ = settings; }
+    void set_limits(const instance_pool_settings& settings);
     [[nodiscard]] const instance_pool_settings& limits() const { return settings_; }
 
     /// Takes an idle connection, preferring one that already has the session's values, and one on which no
@@ -130,6 +133,19 @@
     [[nodiscard]] std::optional<time_point> oldest_unanswered() const;
     /// Time at which the oldest unanswered write or commit was sent.
     [[nodiscard]] std::optional<time_point> commit_waiting_since() const;
+    /// True if another statement may be sent without exceeding the learned limit.
+    [[nodiscard]] bool has_room() const { return in_flight() < limit_.limit(); }
+    /// Statements that may be in flight, as learned from the answers.
+    [[nodiscard]] std::size_t in_flight_limit() const { return limit_.limit(); }
+    /// True if no connection is free and none may be opened.
+    [[nodiscard]] bool is_out_of_connections() const;
+    /// Connections of this daemon that become free for the next statement, per second.
+    [[nodiscard]] double service_rate() const;
+    /// Expected time from sending a statement to its answer.
+    [[nodiscard]] duration expected_service() const;
+    /// Whether the instance is avoided because it fails statements of this daemon.
+    [[nodiscard]] error_avoidance& errors() { return errors_; }
+    [[nodiscard]] const error_avoidance& errors() const { return errors_; }
     /// Marks the instance as unusable for a while, after it has answered busy.
     void pause_for(duration length) { paused_until_ = now() + length; }
     [[nodiscard]] time_point now() const { return clock_(); }
@@ -155,6 +171,11 @@
                               answer_verdict verdict, const instance_answer& answer);
     void on_opened(pooled_connection& connection, const statement_result& startup_result);
     void on_answer(command_kind kind, time_point sent_at, const instance_answer& answer);
+    /// Learns from an answer what the instance bears and whether it fails.
+    void learn(const pooled_connection& connection, const pooled_connection::pending_command& answered,
+               const instance_answer& answer);
+    void record_error(bool failed);
+    void record_release(pooled_connection& connection);
     void record_latency(time_point sent_at);
     /// Passes on the refusals that were held for long enough.
     void release_held_refusals();
@@ -173,6 +194,9 @@
     std::vector<std::unique_ptr<pooled_connection>> ended_;
     std::optional<log_position> position_;
     double latency_ms_;
+    concurrency_limit limit_;
+    service_estimate estimate_;
+    error_avoidance errors_;
     time_point listed_since_;
     time_point last_answer_;
     time_point paused_until_;
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -14,6 +14,8 @@
 
 /// Limit on the attempts of one statement, to bound the load added by retries.
 constexpr std::uint32_t max_attempts = 8;
+/// Number of kinds of work that latencies are told apart by.
+constexpr std::size_t work_kinds = 1024;
 /// Concurrent attempts of one read.
 constexpr std::size_t max_parallel_reads = 2;
 /// An instance that answered busy receives no new statements for this time.
@@ -29,6 +31,7 @@
 constexpr double queue_share = 0.8;
 constexpr double microseconds_per_ms = 1000.0;
 constexpr std::string_view too_large_detail = "too long with the position that the read needs";
+constexpr std::string_view unservable_detail = "can't be served before its timeout";
 constexpr std::string_view stopping_detail = "the daemon is stopping";
 
 duration share_of(duration length, double share) {
@@ -74,8 +77,17 @@
     waiting_ = true;
     waiting_since_ = group_.now();
     group_.track(self_);
-    if (!try_place()) {
-        group_.enqueue(shared_from_this());
+    // Those that wait may come first.
+    const bool others_wait = group_.has_waiting_tasks();
+    wait_reason_ = placement_wait::no_connection;
+    if (!others_wait && try_place()) {
+        return;
+    }
+    const std::shared_ptr<statement_task> keep = self_;
+    group_.enqueue(keep);
+    if (others_wait) {
+        group_.place_waiting_tasks();
+        group_.refuse_if_unservable(keep);
     }
 }
 
@@ -100,6 +112,8 @@
     current->instance = placed.connection->owner().listed().id;
     current->min_position = placed.min_position;
     current->started_at = group_.now();
+    placed.connection->work_kind =
+        static_cast<std::int64_t>(std::hash<std::string>{}(request_.selected_route->name) % work_kinds);
     attempts_.push_back(current);
     placed.connection->on_lost = [this, current] { on_lost(current); };
     set_up(current);
@@ -336,6 +350,10 @@
     }
 }
 
+void statement_task::refuse_unservable() {
+    refuse(is_transaction() ? statement_outcome::aborted : statement_outcome::busy, unservable_detail);
+}
+
 void statement_task::give_up(std::string_view detail) {
     if (finished_) {
         return;
@@ -371,6 +389,10 @@
         }
     }
     if (waited >= limit) {
+        // While its lane is full, a waiting task is not tried, and its reason may be out of date.
+        if (unservable && (try_place() || wait_reason_ == placement_wait::no_connection)) {
+            return;
+        }
         if (unservable && wait_reason_ != placement_wait::no_primary) {
             group_.on_unservable_statement();
         }
@@ -398,6 +420,7 @@
 
 void statement_task::abandon() {
     const std::shared_ptr<statement_task> keep = self_;
+    group_.dequeue(*this);
     finished_ = true;
     waiting_ = false;
     done_ = nullptr;
@@ -414,6 +437,7 @@
 
 void statement_task::finish(statement_result result, pooled_connection* connection) {
     const std::shared_ptr<statement_task> keep = self_;
+    group_.dequeue(*this);
     finished_ = true;
     waiting_ = false;
     const result_handler done = std::move(done_);
--- a/gentianhill/proxy/statement_task.h
+++ b/gentianhill/proxy/statement_task.h
@@ -59,6 +59,17 @@
     void abandon();
     /// Ends the task with the outcome that is certain without the answers to its running attempts.
     void give_up(std::string_view detail);
+    /// Refuses the task because it is known that it can't be served in time.
+    void refuse_unservable();
+    /// True if the task may be refused as not run, because no attempt is running.
+    [[nodiscard]] bool may_be_refused() const { return attempts_.empty(); }
+    /// What the task has waited for when it was last tried to be placed.
+    [[nodiscard]] placement_wait wait_reason() const { return wait_reason_; }
+    /// True if there are instances that the task uses only if no other can serve it.
+    [[nodiscard]] bool avoids_instances() const { return !excluded_instances_.empty(); }
+    /// Entry of the task in the queue of its group; zero when it was never queued.
+    [[nodiscard]] std::uint64_t queue_entry() const { return queue_entry_; }
+    void set_queue_entry(std::uint64_t entry) { queue_entry_ = entry; }
     /// Refuses the task if it waits and has no running attempt, because the daemon stops.
     void refuse_waiting();
 
@@ -113,6 +124,7 @@
     placement_wait wait_reason_ = placement_wait::none;
     statement_outcome last_failure_ = statement_outcome::busy;
     time_point waiting_since_;
+    std::uint64_t queue_entry_ = 0;
     std::uint32_t started_attempts_ = 0;
     bool waiting_ = false;
     bool confirming_ = false;
--- a/standins/replicated_service/service_model.cpp
+++ b/standins/replicated_service/service_model.cpp
@@ -77,6 +77,22 @@
     }
 }
 
+void service_model::set_capacity(std::size_t slots, duration work) {
+    settings_.slots = slots;
+    settings_.work = work;
+}
+
+duration service_model::take_slot(const std::string& id) {
+    if (settings_.slots == 0) {
+        return settings_.work;
+    }
+    std::vector<time_point>& free_at = instances_.at(id).slots_free_at;
+    free_at.resize(settings_.slots);
+    const std::vector<time_point>::iterator first = std::min_element(free_at.begin(), free_at.end());
+    *first = std::max(*first, now()) + settings_.work;
+    return *first - now();
+}
+
 void service_model::rebirth(const std::string& id) {
     instance& target = instances_.at(id);
     const std::uint64_t incarnation = target.incarnation + 1;
@@ -300,7 +316,7 @@
 
 void service_model::handle(const std::shared_ptr<model_connection>& connection, const model_command& command,
                            answer_handler done) {
-    const duration delay = is_own_command(command.kind) ? duration(0) : settings_.work;
+    const duration delay = is_own_command(command.kind) ? duration(0) : take_slot(connection->instance);
     call_after(delay,
                [this, connection, command, done = std::move(done)] { run(connection, command, done); });
 }
@@ -417,6 +433,10 @@
         done(make_answer(target, *connection, statement_outcome::read_only));
         return;
     }
+    if (target.fails) {
+        done(make_answer(target, *connection, statement_outcome::failed));
+        return;
+    }
     if (on_run) {
         on_run(command, *connection);
     }
--- a/standins/replicated_service/service_model.h
+++ b/standins/replicated_service/service_model.h
@@ -23,6 +23,8 @@
     /// Time from a promotion's effect until the other replicas follow; they are not fenced meanwhile.
     duration notice = std::chrono::milliseconds(12);
     duration work = std::chrono::milliseconds(2);
+    /// Statements that an instance runs at once; the others queue. Zero means any number.
+    std::size_t slots = 0;
     /// Replicas that must have received a commit before it is acknowledged.
     std::size_t sync_replicas = 1;
     /// Time after which an old primary that reaches the new one follows it.
@@ -107,6 +109,10 @@
     void confirm(const std::string& id);
 
     void set_up(const std::string& id, bool up);
+    /// Changes the slots and the work of a statement on all instances.
+    void set_capacity(std::size_t slots, duration work);
+    /// Sets whether an instance fails every statement of a client that it runs.
+    void set_failing(const std::string& id, bool fails) { instances_.at(id).fails = fails; }
     /// Starts an instance again under its id; it knows nothing of before.
     void rebirth(const std::string& id);
     /// Cuts or heals the way between two instances.
@@ -144,12 +150,17 @@
         std::vector<model_entry> log;
         std::size_t applied = 0;
         std::size_t connections = 0;
+        /// Times at which its slots become free.
+        std::vector<time_point> slots_free_at;
+        bool fails = false;
         std::optional<time_point> sees_newer_since;
         std::deque<waiting_commit> waiting;
         /// How far each replica is known to have received.
         std::map<std::string, std::size_t> received;
     };
 
+    /// Time until a statement that arrives now has run.
+    [[nodiscard]] duration take_slot(const std::string& id);
     void replicate();
     void replicate_from(const std::string& id, instance& leader);
     void receive(const std::string& from, const std::string& to, const std::vector<model_entry>& log,
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -367,6 +367,7 @@
             added->consistency = consistency;
             added->timeout = std::chrono::milliseconds(object.content.at("timeout_ms").get<std::int64_t>());
             added->target_latency = 200ms;
+            added->priority = consistency == consistency_level::latest ? 1 : 2;
             added->max_staleness = consistency == consistency_level::latest ? duration(0) : duration(1500ms);
             configuration.routes.emplace(database, added);
         }
