statement_queue: late statements are refused while those in time leave no connection to spare

Cause: at 2.5 times, statements that had missed their target latency were held until 0.8 of their timeout though none of them was served, and those served in time were served at the last moment. Change: a level of priority that had no connection to spare for 300 ms expects statements to meet their target latency or refuses them; the latest start for it leaves time for a slow answer.

--- a/gentianhill/admission/statement_queue.cpp
+++ b/gentianhill/admission/statement_queue.cpp
@@ -31,7 +31,16 @@
     return lines.at(static_cast<std::size_t>(expected)).at(index_of(lane)).size();
 }
 
-statement_queue::push_result statement_queue::push(const queued_statement& statement) {
+bool statement_queue::priority_level::is_empty(statement_lane lane) const {
+    return std::all_of(teams.begin(), teams.end(),
+                       [lane](const std::pair<const std::string, team_lines>& team) {
+                           return team.second.length(outlook::meets_target, lane) +
+                                      team.second.length(outlook::late, lane) ==
+                                  0;
+                       });
+}
+
+statement_queue::push_result statement_queue::push(const queued_statement& statement, time_point now) {
     push_result result;
     if (entries_.size() >= settings_.max_length) {
         const std::optional<entry_id> last_id = last();
@@ -41,6 +50,10 @@
         static_cast<void>(remove(*last_id));
         result.displaced = last_id;
     }
+    priority_level& level = levels_[statement.priority];
+    if (level.is_empty(statement.lane)) {
+        level.spare_at.at(index_of(statement.lane)) = now;
+    }
     result.added = next_id_++;
     insert(*result.added, {statement, outlook::meets_target});
     return result;
@@ -173,6 +186,10 @@
         switch (result) {
         case offer_result::left_queue:
             if (still_waits) {
+                if (offered.expected == outlook::late) {
+                    levels_.at(offered.statement.priority).spare_at.at(index_of(offered.statement.lane)) =
+                        now;
+                }
                 charge(offered.statement);
                 static_cast<void>(remove(*id));
             }
@@ -188,11 +205,30 @@
             break;
         }
     }
+    record_spare(is_full, now);
     for (const std::pair<entry_id, entry>& waiting : set_aside) {
         insert(waiting.first, waiting.second);
     }
 }
 
+void statement_queue::record_spare(const lane_flags& is_full, time_point now) {
+    for (std::pair<const std::int64_t, priority_level>& level : levels_) {
+        for (std::size_t lane = 0; lane < statement_lanes; ++lane) {
+            if (!is_full.at(lane)) {
+                level.second.spare_at.at(lane) = now;
+            }
+        }
+    }
+}
+
+time_point statement_queue::servable_until(const queued_statement& statement, time_point now) const {
+    const std::map<std::int64_t, priority_level>::const_iterator level = levels_.find(statement.priority);
+    const bool serves_late =
+        level == levels_.end() ||
+        now - level->second.spare_at.at(index_of(statement.lane)) <= settings_.spare_memory;
+    return serves_late ? statement.last_start : std::min(statement.last_start, statement.target_start);
+}
+
 void statement_queue::charge(const queued_statement& served) {
     priority_level& level = levels_.at(served.priority);
     team_lines& team = level.teams.at(served.team);
@@ -264,9 +300,9 @@
                     for (const std::pair<time_point, entry_id>& statement : statements) {
                         const std::size_t before =
                             ahead.at(lane) + ahead_within(level.second, team.first, current, kind, index);
+                        const queued_statement& judged = entries_.at(statement.second).statement;
                         const bool is_servable =
-                            before == 0 || now + expected_wait(kind, before) <=
-                                               entries_.at(statement.second).statement.last_start;
+                            before == 0 || now + expected_wait(kind, before) <= servable_until(judged, now);
                         if (is_servable) {
                             ++index;
                         } else {
--- a/gentianhill/admission/statement_queue.h
+++ b/gentianhill/admission/statement_queue.h
@@ -55,6 +55,9 @@
 struct statement_queue_settings {
     /// Statements that may wait. A few kilobytes each, so that the smallest host bears a full queue.
     std::size_t max_length = 2048;
+    /// While a level has had no connection to spare for this time, its late statements are not expected to be
+    /// served. Longer than the gaps between two bursts of arrivals, and well below a timeout.
+    duration spare_memory = std::chrono::milliseconds{300};
 };
 
 /// Decides which waiting statement gets the next connection: by priority of the route, then those that can
@@ -80,7 +83,7 @@
     void set_weight(const std::string& team, double weight) { weights_[team] = weight; }
 
     /// Adds a statement. A full queue drops its last statement if the new one is served before it.
-    [[nodiscard]] push_result push(const queued_statement& statement);
+    [[nodiscard]] push_result push(const queued_statement& statement, time_point now);
     /// Removes a statement; false if it does not wait.
     bool remove(entry_id id);
     /// Offers connections in the order of service until every lane is full. `offer_one` may call push() and
@@ -89,8 +92,11 @@
 
     /// Number of waiting statements of its lane that are served before a new one.
     [[nodiscard]] std::size_t ahead_of(const queued_statement& statement, time_point now);
-    /// Statements that `expected_wait` (lane, number of statements ahead) shows to start after their
-    /// `last_start`. The first of its lane is never among them, as it gets the next connection.
+    /// Latest start with which a statement can be expected to be served: as long as those in time leave no
+    /// connection to spare, it has to meet its target latency.
+    [[nodiscard]] time_point servable_until(const queued_statement& statement, time_point now) const;
+    /// Statements that `expected_wait` (lane, number of statements ahead) shows to start later than they can
+    /// be served. The first of its lane is never among them, as it gets the next connection.
     [[nodiscard]] std::vector<entry_id>
     find_unservable(time_point now,
                     const std::function<duration(statement_lane lane, std::size_t ahead)>& expected_wait);
@@ -130,6 +136,10 @@
     struct priority_level {
         std::map<std::string, team_lines> teams;
         double virtual_time = 0.0;
+        /// By lane, time at which it last had a connection for a late statement or for one more.
+        std::array<time_point, statement_lanes> spare_at{};
+
+        [[nodiscard]] bool is_empty(statement_lane lane) const;
     };
 
     using lane_flags = std::array<bool, statement_lanes>;
@@ -144,6 +154,8 @@
     /// True if a new statement is served before the last one, by priority or as its team waits with fewer.
     [[nodiscard]] bool is_served_before(const queued_statement& added, const queued_statement& last) const;
     void charge(const queued_statement& served);
+    /// Records that all levels have connections to spare in the lanes that are not full.
+    void record_spare(const lane_flags& is_full, time_point now);
     [[nodiscard]] double weight_of(const std::string& team) const;
     /// Statements of one level and outlook that are served before number `index` of a team.
     [[nodiscard]] std::size_t ahead_within(const priority_level& level, const std::string& team,
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -405,9 +405,10 @@
     described.priority = selected.priority;
     described.lane = lane_of(task.query());
     const duration service = expected_service(described.lane);
+    const duration slow_service = slow_service_of(described.lane);
     const duration longest_wait(
         static_cast<duration::rep>(static_cast<double>(selected.timeout.count()) * queue_share));
-    described.target_start = request.begun_at + selected.target_latency - service;
+    described.target_start = request.begun_at + selected.target_latency - slow_service;
     described.last_start = request.received_at + std::min(longest_wait, selected.timeout - service);
     described.cost_ms = static_cast<double>(service.count()) / microseconds_per_ms;
     return described;
@@ -415,7 +416,7 @@
 
 void database_group::enqueue(const std::shared_ptr<statement_task>& task) {
     dequeue(*task);
-    const statement_queue::push_result result = queue_.push(describe(*task));
+    const statement_queue::push_result result = queue_.push(describe(*task), now());
     if (result.displaced) {
         refuse_displaced(*result.displaced);
     }
@@ -455,7 +456,7 @@
     const double rate = service_rate(described.lane);
     const duration wait = expected_wait(ahead, rate);
     // The first one gets the next connection. Without a usable instance, the wait depends on its return.
-    if (ahead == 0 || rate <= 0 || now() + wait <= described.last_start) {
+    if (ahead == 0 || rate <= 0 || now() + wait <= queue_.servable_until(described, now())) {
         return;
     }
     counters_.refused_on_arrival.add();
@@ -531,6 +532,17 @@
     return shortest.value_or(duration(0));
 }
 
+duration database_group::slow_service_of(statement_lane lane) const {
+    std::optional<duration> shortest;
+    for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
+        if (lane == statement_lane::any_instance || entry.first == primary_id_) {
+            const duration slow = entry.second->slow_service();
+            shortest = std::min(shortest.value_or(slow), slow);
+        }
+    }
+    return shortest.value_or(duration(0));
+}
+
 void database_group::refuse_unservable_tasks(time_point current) {
     if (current - last_queue_check_ < queue_check_interval) {
         return;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -227,6 +227,8 @@
     [[nodiscard]] double service_rate(statement_lane lane) const;
     /// Expected time from sending a statement to its answer.
     [[nodiscard]] duration expected_service(statement_lane lane) const;
+    /// The same for a statement that takes longer than most.
+    [[nodiscard]] duration slow_service_of(statement_lane lane) const;
     /// Refuses the waiting statements that other ones will keep from being served in time.
     void refuse_unservable_tasks(time_point current);
     /// Refuses a statement that had to leave the full queue.
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -16,6 +16,8 @@
 constexpr double latency_weight = 0.1;
 /// Half-life of the estimate without answers, so that an instance that was slow is tried again.
 constexpr double latency_half_life_ms = 2000.0;
+/// Mean deviations above the mean latency within which about nine of ten statements are answered.
+constexpr double slow_deviations = 2.0;
 constexpr double microseconds_per_ms = 1000.0;
 constexpr double microseconds_per_second = 1'000'000.0;
 
@@ -337,8 +339,14 @@
     return duration(static_cast<duration::rep>(std::max(latency_ms_, 1.0) * microseconds_per_ms));
 }
 
+duration proxy_instance::slow_service() const {
+    const double slow_ms = latency_ms_ + slow_deviations * latency_deviation_ms_;
+    return duration(static_cast<duration::rep>(std::max(slow_ms, 1.0) * microseconds_per_ms));
+}
+
 void proxy_instance::record_latency(time_point sent_at) {
     const double sample = static_cast<double>((now() - sent_at).count()) / microseconds_per_ms;
+    latency_deviation_ms_ += latency_weight * (std::abs(sample - latency_ms_) - latency_deviation_ms_);
     latency_ms_ += latency_weight * (sample - latency_ms_);
 }
 
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -143,6 +143,8 @@
     [[nodiscard]] double service_rate() const;
     /// Expected time from sending a statement to its answer.
     [[nodiscard]] duration expected_service() const;
+    /// The same for a statement that takes longer than most.
+    [[nodiscard]] duration slow_service() const;
     /// Whether the instance is avoided because it fails statements of this daemon.
     [[nodiscard]] error_avoidance& errors() { return errors_; }
     [[nodiscard]] const error_avoidance& errors() const { return errors_; }
@@ -194,6 +196,8 @@
     std::vector<std::unique_ptr<pooled_connection>> ended_;
     std::optional<log_position> position_;
     double latency_ms_;
+    /// Moving average of the deviation from `latency_ms_`.
+    double latency_deviation_ms_ = 0;
     concurrency_limit limit_;
     service_estimate estimate_;
     error_avoidance errors_;
--- a/tests/admission/statement_queue_tests.cpp
+++ b/tests/admission/statement_queue_tests.cpp
@@ -23,7 +23,7 @@
                                    duration target = 300ms, duration timeout = 800ms,
                                    statement_lane lane = statement_lane::any_instance) {
         const statement_queue::push_result result =
-            queue.push({priority, team, lane, now + target, now + timeout, 10.0});
+            queue.push({priority, team, lane, now + target, now + timeout, 10.0}, now);
         REQUIRE(result.added);
         labels[*result.added] = team;
         return *result.added;
@@ -168,9 +168,9 @@
     const statement_queue::entry_id first = push("", readers);
     push("", readers);
     const statement_queue::entry_id last = push("", readers);
-    CHECK(!queue.push({readers, "", statement_lane::any_instance, now, now, 1.0}).added);
+    CHECK(!queue.push({readers, "", statement_lane::any_instance, now, now, 1.0}, now).added);
     const statement_queue::push_result result =
-        queue.push({writers, "", statement_lane::primary, now + 1s, now + 1s, 1.0});
+        queue.push({writers, "", statement_lane::primary, now + 1s, now + 1s, 1.0}, now);
     CHECK(result.added);
     REQUIRE(result.displaced);
     CHECK(*result.displaced == last);
@@ -185,9 +185,9 @@
     push("hot");
     push("hot");
     const statement_queue::entry_id last = push("hot");
-    CHECK(!queue.push({readers, "hot", statement_lane::any_instance, now + 1s, now + 1s, 1.0}).added);
+    CHECK(!queue.push({readers, "hot", statement_lane::any_instance, now + 1s, now + 1s, 1.0}, now).added);
     const statement_queue::push_result result =
-        queue.push({readers, "other", statement_lane::any_instance, now + 1s, now + 1s, 1.0});
+        queue.push({readers, "other", statement_lane::any_instance, now + 1s, now + 1s, 1.0}, now);
     CHECK(result.added);
     CHECK(result.displaced == std::optional(last));
 }
@@ -203,6 +203,32 @@
     CHECK(*std::min_element(unservable.begin(), unservable.end()) == ids[80]);
 }
 
+// Load: readers at 2.5 times for seconds. Guards against late statements that are held until their timeout,
+// although those in time take every connection.
+TEST_CASE_FIXTURE(statement_queue_fixture,
+                  "find_unservable_without_spare_connections_names_late_statements") {
+    for (int step = 0; step < 60; ++step) {
+        push("", readers, 100ms, 800ms);
+        push("", readers, 100ms, 800ms);
+        serve();
+        now += 10ms;
+    }
+    for (const statement_queue::entry_id id : queue.find_unservable(now, wait)) {
+        queue.remove(id);
+    }
+    CHECK(queue.size() <= 11);
+}
+
+// Guards against the refusal of late statements that the next lull serves.
+TEST_CASE_FIXTURE(statement_queue_fixture, "find_unservable_after_spare_connections_keeps_late_statements") {
+    for (int count = 0; count < 20; ++count) {
+        push("", readers, 100ms, 800ms);
+    }
+    now += 150ms;
+    serve();
+    CHECK(queue.find_unservable(now, wait).empty());
+}
+
 // Guards against the refusal of a small team's statement because of another team's backlog.
 TEST_CASE_FIXTURE(statement_queue_fixture, "ahead_of_small_team_counts_its_share_of_backlog") {
     for (int count = 0; count < 500; ++count) {
--- a/tests/proxy/overload_tests.cpp
+++ b/tests/proxy/overload_tests.cpp
@@ -89,6 +89,8 @@
     for (std::size_t proxy = 0; proxy < proxies; ++proxy) {
         deployment.start(proxy);
     }
+    // Clients can connect once the proxies have read the configuration.
+    deployment.run_for(300ms);
     readers.disconnect();
     writers.disconnect();
     run(2s);
