--- a/gentianhill/admission/statement_queue.cpp
+++ b/gentianhill/admission/statement_queue.cpp
@@ -53,6 +53,7 @@
     priority_level& level = levels_[statement.priority];
     if (level.is_empty(statement.lane)) {
         level.spare_at.at(index_of(statement.lane)) = now;
+        level.served_before.at(index_of(statement.lane)) = 0;
     }
     result.added = next_id_++;
     insert(*result.added, {statement, outlook::meets_target});
@@ -186,10 +187,7 @@
         switch (result) {
         case offer_result::left_queue:
             if (still_waits) {
-                if (offered.expected == outlook::late) {
-                    levels_.at(offered.statement.priority).spare_at.at(index_of(offered.statement.lane)) =
-                        now;
-                }
+                record_service(offered, now);
                 charge(offered.statement);
                 static_cast<void>(remove(*id));
             }
@@ -211,11 +209,26 @@
     }
 }
 
+void statement_queue::record_service(const entry& served, time_point now) {
+    const std::size_t lane = index_of(served.statement.lane);
+    for (std::map<std::int64_t, priority_level>::iterator level = levels_.find(served.statement.priority);
+         level != levels_.end(); ++level) {
+        const bool is_own = level->first == served.statement.priority;
+        if (is_own && served.expected == outlook::late) {
+            level->second.spare_at.at(lane) = now;
+            level->second.served_before.at(lane) = 0;
+        } else {
+            ++level->second.served_before.at(lane);
+        }
+    }
+}
+
 void statement_queue::record_spare(const lane_flags& is_full, time_point now) {
     for (std::pair<const std::int64_t, priority_level>& level : levels_) {
         for (std::size_t lane = 0; lane < statement_lanes; ++lane) {
             if (!is_full.at(lane)) {
                 level.second.spare_at.at(lane) = now;
+                level.second.served_before.at(lane) = 0;
             }
         }
     }
@@ -223,9 +236,10 @@
 
 time_point statement_queue::servable_until(const queued_statement& statement, time_point now) const {
     const std::map<std::int64_t, priority_level>::const_iterator level = levels_.find(statement.priority);
-    const bool serves_late =
-        level == levels_.end() ||
-        now - level->second.spare_at.at(index_of(statement.lane)) <= settings_.spare_memory;
+    const std::size_t lane = index_of(statement.lane);
+    const bool serves_late = level == levels_.end() ||
+                             now - level->second.spare_at.at(lane) <= settings_.spare_memory ||
+                             level->second.served_before.at(lane) < settings_.served_without_spare;
     return serves_late ? statement.last_start : std::min(statement.last_start, statement.target_start);
 }
 
--- a/gentianhill/admission/statement_queue.h
+++ b/gentianhill/admission/statement_queue.h
@@ -55,9 +55,11 @@
 struct statement_queue_settings {
     /// Statements that may wait. A few kilobytes each, so that the smallest host bears a full queue.
     std::size_t max_length = 2048;
-    /// While a level has had no connection to spare for this time, its late statements are not expected to be
-    /// served. Longer than the gaps between two bursts of arrivals, and well below a timeout.
+    /// Late statements of a level are not expected to be served while others have been served before them for
+    /// this time, and in this number, with nothing to spare. Longer than the gaps between two bursts of
+    /// arrivals, and well below a timeout; a stall in which nothing is served does not count.
     duration spare_memory = std::chrono::milliseconds{300};
+    std::size_t served_without_spare = 8;
 };
 
 /// Decides which waiting statement gets the next connection: by priority of the route, then those that can
@@ -138,6 +140,8 @@
         double virtual_time = 0.0;
         /// By lane, time at which it last had a connection for a late statement or for one more.
         std::array<time_point, statement_lanes> spare_at{};
+        /// By lane, statements that were served before its late ones since then.
+        std::array<std::size_t, statement_lanes> served_before{};
 
         [[nodiscard]] bool is_empty(statement_lane lane) const;
     };
@@ -154,6 +158,8 @@
     /// True if a new statement is served before the last one, by priority or as its team waits with fewer.
     [[nodiscard]] bool is_served_before(const queued_statement& added, const queued_statement& last) const;
     void charge(const queued_statement& served);
+    /// Records that a statement has got a connection.
+    void record_service(const entry& served, time_point now);
     /// Records that all levels have connections to spare in the lanes that are not full.
     void record_spare(const lane_flags& is_full, time_point now);
     [[nodiscard]] double weight_of(const std::string& team) const;
--- a/tests/admission/statement_queue_tests.cpp
+++ b/tests/admission/statement_queue_tests.cpp
@@ -219,6 +219,16 @@
     CHECK(queue.size() <= 11);
 }
 
+// Load: idle transactions hold every connection. Guards against a stall being taken for others that are
+// served.
+TEST_CASE_FIXTURE(statement_queue_fixture, "find_unservable_while_nothing_is_served_keeps_late_statements") {
+    for (int count = 0; count < 20; ++count) {
+        push("", readers, 100ms, 800ms);
+    }
+    now += 400ms;
+    CHECK(queue.find_unservable(now, wait).empty());
+}
+
 // Guards against the refusal of late statements that the next lull serves.
 TEST_CASE_FIXTURE(statement_queue_fixture, "find_unservable_after_spare_connections_keeps_late_statements") {
     for (int count = 0; count < 20; ++count) {
--- a/tests/proxy/overload_tests.cpp
+++ b/tests/proxy/overload_tests.cpp
@@ -138,3 +138,49 @@
     // Three proxies probe it five times a second.
     CHECK(repeated <= 40);
 }
+
+// Load: clients rest inside transactions and hold every connection to the primary. Guards against writers
+// that wait for the idle limit of 3 s.
+TEST_CASE("overload_by_idle_transactions_ends_them_for_waiting_statements") {
+    simulated_deployment deployment{proxies};
+    std::vector<std::unique_ptr<simulated_client>> resting;
+    for (int count = 0; count < 12; ++count) {
+        resting.push_back(deployment.connect(0, "latest"));
+        resting.back()->send("BEGIN");
+        resting.back()->send("WRITE a 1");
+    }
+    deployment.run_for(300ms);
+    std::unique_ptr<simulated_client> writer = deployment.connect(0, "latest");
+    const std::string waiting = writer->send("WRITE b 1");
+    // The port of the clients calls this regularly.
+    for (duration passed{0}; passed < 700ms; passed += 25ms) {
+        deployment.run_for(25ms);
+        for (const std::unique_ptr<simulated_client>& client : resting) {
+            client->session().tick();
+        }
+    }
+    CHECK(writer->outcome(waiting) == statement_outcome::done);
+    std::size_t aborted = 0;
+    for (const std::unique_ptr<simulated_client>& client : resting) {
+        const std::string next = client->send("WRITE a 2");
+        deployment.run_for(25ms);
+        const statement_result* result = client->result(next);
+        aborted += result != nullptr && result->outcome == statement_outcome::aborted ? 1 : 0;
+    }
+    // No more are ended than statements waited.
+    CHECK(aborted >= 1);
+    CHECK(aborted <= 3);
+    CHECK(deployment.service.violations().empty());
+}
+
+// Guards against ending transactions of which nobody wants the connection.
+TEST_CASE("idle_transactions_while_connections_are_free_may_rest") {
+    simulated_deployment deployment{proxies};
+    std::unique_ptr<simulated_client> resting = deployment.connect(0, "latest");
+    resting->send("BEGIN");
+    resting->send("WRITE a 1");
+    deployment.run_for(2500ms);
+    const std::string commit = resting->send("COMMIT");
+    deployment.run_for(300ms);
+    CHECK(resting->outcome(commit) == statement_outcome::done);
+}
