--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -120,6 +120,9 @@
         pinned_attempts_ = 0;
         busy_since_.reset();
         if (transaction_) {
+            if (transaction_->connection != nullptr) {
+                transaction_->group->on_transaction_pause(environment_.now() - transaction_->last_activity);
+            }
             transaction_->last_activity = environment_.now();
         }
         run(current_);
@@ -805,6 +808,10 @@
                 {{"group", transaction_->selected_route->group}, {"limit_ms", to_milliseconds(limit)}});
             release_pinned();
             transaction_->failed = true;
+        } else if (transaction_->connection != nullptr &&
+                   transaction_->group->ends_idle_transaction(*transaction_->connection, limit,
+                                                              now - transaction_->last_activity)) {
+            end_transaction();
         }
         return;
     }
--- a/gentianhill/relay/relay_transport.cpp
+++ b/gentianhill/relay/relay_transport.cpp
@@ -185,7 +185,8 @@
             path == hand_on_path ? settings_.hand_on_connect_timeout : settings_.connect_timeout;
         settings.connection.max_body_bytes = settings_.max_answer_bytes;
         settings.max_open_requests = settings_.max_open_requests;
-        settings.silent_timeouts = path == path_of(relay_request_kind::state) ? 1 : silent_short_timeouts;
+        const bool is_silent_at_once = path == path_of(relay_request_kind::state) || path == hand_on_path;
+        settings.silent_timeouts = is_silent_at_once ? 1 : silent_short_timeouts;
         found.client = std::make_unique<http2::reconnecting_client>(loop_, settings, random_);
     }
     found.used_at = event_loop::now();
