tests/clients: crowds of clients that misbehave, red on this code

Change: 22 tests of gentianhill-edge's own process on loopback, one a behaviour, each a CTest test of its own that runs alone (RUN_SERIAL). The crowd uses plain sockets and shares no code with the product. Bounds: resident memory, and resident memory with the bytes that the sockets have received and the process has not read, at most 96 MB (settings memory_limit_mb, descriptor_limit, without effect so far); descriptors at most 500; the process lives; a session that was calm and a new one are answered. Instances of strict_lines can send long rows.

--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// Memory and descriptors of the smallest hosts that daemons run on.
+constexpr std::int64_t default_memory_limit_mb = 160;
+constexpr std::int64_t default_descriptor_limit = 4300;
+
 setting_definition make_text(const char* name, setting_type type, const char* help) {
     setting_definition result;
     result.name = name;
@@ -65,6 +69,12 @@
         make_integer_setting("silence_limit_ms", 4000, 1500, 60'000, "ms",
                              "Time in which a connection to the store that has gone silent must be noticed. "
                              "Longer ones cost fewer calls."));
+    result.push_back(
+        make_integer_setting("memory_limit_mb", default_memory_limit_mb, 64, 1'000'000, "MB",
+                             "Memory of the host that the process may use, bytes in socket buffers included. "
+                             "Clients and peers are limited so that it is not exceeded."));
+    result.push_back(make_integer_setting("descriptor_limit", default_descriptor_limit, 400, 1'000'000,
+                                          "descriptors", "File descriptors that the process may open."));
     setting_definition level;
     level.name = "log_level";
     level.type = setting_type::choice;
@@ -138,6 +148,8 @@
     result.promotion_service = parse_address(values, "promotion_service");
     result.level = log_level_from(values.text("log_level")).value_or(log_level::info);
     result.log_repeats_per_second = values.integer("log_repeats_per_second");
+    result.memory_limit_mb = static_cast<std::size_t>(values.integer("memory_limit_mb"));
+    result.descriptor_limit = static_cast<std::size_t>(values.integer("descriptor_limit"));
     return result;
 }
 
--- a/gentianhill/proxy/proxy_setting_definitions.h
+++ b/gentianhill/proxy/proxy_setting_definitions.h
@@ -28,6 +28,10 @@
     endpoint promotion_service;
     log_level level = log_level::info;
     std::int64_t log_repeats_per_second = 0;
+    /// Memory that the process may use, bytes in socket buffers included, in MB.
+    std::size_t memory_limit_mb = 0;
+    /// File descriptors that the process may open.
+    std::size_t descriptor_limit = 0;
 
     /// Converts validated setting values.
     [[nodiscard]] static proxy_process_settings from(const setting_values& values);
--- a/standins/strict_lines/answer_faults.h
+++ b/standins/strict_lines/answer_faults.h
@@ -2,6 +2,8 @@
 
 #include "gentianhill/core/time.h"
 
+#include <cstddef>
+
 namespace gentianhill::standins {
 
 /// Faults of the answers of instances. Shares are between 0 and 1.
@@ -22,6 +24,8 @@
     duration apply_lag = std::chrono::milliseconds(8);
     /// Share of the rows that contain line feeds, carriage returns and other control characters.
     double odd_rows = 0;
+    /// Bytes that are appended to each row.
+    std::size_t row_bytes = 0;
 };
 
 } // namespace gentianhill::standins
--- a/standins/strict_lines/strict_service.cpp
+++ b/standins/strict_lines/strict_service.cpp
@@ -414,6 +414,7 @@
 
 std::string strict_service::make_row() {
     std::string row = fmt::format("row {} {:x}", ++last_row_, random_());
+    row.append(faults.row_bytes, 'r');
     if (draw(faults.odd_rows)) {
         row += odd_characters[random_() % odd_characters.size()];
         row += fmt::format("{:x}", random_());
--- /dev/null
+++ b/tests/clients.cmake
@@ -0,0 +1,15 @@
+# Crowds of clients that misbehave against a process of gentianhill-edge. Each case is a test of its own, and one
+# runs at a time, apart from all other tests.
+add_executable(gentianhill_client_crowd_tests main.cpp clients/client_crowd_tests.cpp clients/crowd_client.cpp
+  clients/edge_deployment.cpp clients/peer_frames.cpp)
+target_link_libraries(gentianhill_client_crowd_tests PRIVATE
+  gentianhill_soak_processes gentianhill_standin_line_platform gentianhill_standin_strict_lines)
+add_dependencies(gentianhill_client_crowd_tests gentianhill-edge)
+target_compile_definitions(gentianhill_client_crowd_tests PRIVATE
+  GENTIANHILL_EDGE_PROGRAM="$<TARGET_FILE:gentianhill-edge>")
+file(STRINGS clients/client_crowd_tests.cpp cases REGEX "^TEST_CASE_FIXTURE")
+foreach(line ${cases})
+  string(REGEX REPLACE ".*\"(.*)\".*" "\\1" case "${line}")
+  add_test(NAME crowd.${case} COMMAND gentianhill_client_crowd_tests --test-case=${case})
+  set_tests_properties(crowd.${case} PROPERTIES TIMEOUT 150 RUN_SERIAL TRUE)
+endforeach()
