budget: bounds on what clients, peers and instances make gentianhill-edge hold

Change: docs/design/client-limits.md. budget/memory_budget divides a part of memory_limit_mb among the client connections, without any network: not reading first (32 unanswered statements, 64 KiB of them, 256 KiB unsent), then waiting for memory in order, with a few grants of a whole message; SET and PREPARE beyond a session's share are refused as TOOLARGE without having run; then those that hold most without progress are closed. Parts of descriptor_limit for clients, peers and the admin port; the listener closes what is not served to make room, and stops accepting before the last descriptor. http2/server bounds its connections and held bytes, in both programs, and refuses incomplete requests with REFUSED_STREAM. Answers of instances are bounded. admin_endpoint has an HTTP/1.1 server of its own, since libevent's bounds neither connections nor requests sent ahead. Buffers over 64 KiB are freed, and from 128 KiB returned to the system.

--- a/gentianhill/http2/server.cpp
+++ b/gentianhill/http2/server.cpp
@@ -14,6 +14,7 @@
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,9 @@
 /// then is taken for gone.
 constexpr duration linger_limit = std::chrono::seconds{1};
 
+/// Memory of a stream besides its request and answer, in bytes.
+constexpr std::size_t stream_overhead_bytes = 1024;
+
 std::string_view view_of(const std::uint8_t* data, std::size_t length) {
     return {reinterpret_cast<const char*>(data), length};
 }
@@ -40,7 +44,8 @@
 /// One accepted connection and the requests open on it.
 class server::connection : public std::enable_shared_from_this<server::connection> {
 public:
-    connection(server& owner, connection_id id, int socket) : owner_(owner), id_(id) {
+    connection(server& owner, connection_id id, int socket)
+        : owner_(owner), id_(id), sent_at_(event_loop::now()) {
         set_no_delay(socket);
         transport_ = bufferevent_socket_new(owner.loop_.native(), socket,
                                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -90,6 +95,21 @@
         flush();
     }
 
+    /// Bytes of its requests and answers.
+    [[nodiscard]] std::size_t held_bytes() const { return held_; }
+    [[nodiscard]] bool has_incomplete() const {
+        return std::any_of(
+            streams_.begin(), streams_.end(),
+            [](const std::pair<const std::int32_t, stream>& entry) { return !entry.second.delivered; });
+    }
+    /// True if answers wait and the client has read nothing for the time.
+    [[nodiscard]] bool is_unread_for(duration limit) const {
+        return evbuffer_get_length(bufferevent_get_output(transport_)) > 0 &&
+               event_loop::now() - sent_at_ >= limit;
+    }
+    [[nodiscard]] bool is_silent() const { return !has_requested_; }
+    [[nodiscard]] connection_id id() const { return id_; }
+
     void send_shutdown_notice() {
         nghttp2_submit_shutdown_notice(session_);
         flush();
@@ -103,6 +123,7 @@
 
     /// Marks the connection as gone; responders that are still held do nothing from now on.
     void detach() {
+        hold(-static_cast<std::ptrdiff_t>(held_));
         closed_ = true;
         bufferevent_setcb(transport_, nullptr, nullptr, nullptr, nullptr);
     }
@@ -114,13 +135,31 @@
         bool too_large = false;
         bool delivered = false;
         bool answered = false;
+        std::size_t held = 0;
     };
 
+    /// Changes the bytes that a stream holds.
+    void hold(stream& holder, std::ptrdiff_t change) {
+        holder.held += static_cast<std::size_t>(change);
+        hold(change);
+    }
+    void hold(std::ptrdiff_t change) {
+        if (closed_) {
+            // The owner may be gone.
+            return;
+        }
+        held_ += static_cast<std::size_t>(change);
+        owner_.held_bytes_ += static_cast<std::size_t>(change);
+    }
+
     static connection& from(void* user_data) { return *static_cast<connection*>(user_data); }
 
     static void on_read(bufferevent* /*transport*/, void* user_data) { from(user_data).receive(); }
 
-    static void on_written(bufferevent* /*transport*/, void* user_data) { from(user_data).flush(); }
+    static void on_written(bufferevent* /*transport*/, void* user_data) {
+        from(user_data).sent_at_ = event_loop::now();
+        from(user_data).flush();
+    }
 
     static void on_event(bufferevent* /*transport*/, short events, void* user_data) {
         if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
@@ -131,7 +170,9 @@
 
     static int on_begin_headers(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user_data) {
         if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-            from(user_data).streams_.try_emplace(frame->hd.stream_id);
+            connection& self = from(user_data);
+            self.has_requested_ = true;
+            self.hold(self.streams_[frame->hd.stream_id], stream_overhead_bytes);
         }
         return 0;
     }
@@ -148,6 +189,7 @@
         if (field == ":method") {
             found->second.received.method = std::string{view_of(value, value_length)};
         } else if (field == ":path") {
+            self.hold(found->second, static_cast<std::ptrdiff_t>(value_length));
             found->second.received.path = std::string{view_of(value, value_length)};
         }
         return 0;
@@ -164,6 +206,7 @@
         if (body.size() + length > self.owner_.settings_.max_body_bytes) {
             found->second.too_large = true;
         } else {
+            self.hold(found->second, static_cast<std::ptrdiff_t>(length));
             body.append(view_of(data, length));
         }
         return 0;
@@ -179,7 +222,12 @@
 
     static int on_stream_close(nghttp2_session* /*session*/, std::int32_t stream_id,
                                std::uint32_t /*error_code*/, void* user_data) {
-        from(user_data).streams_.erase(stream_id);
+        connection& self = from(user_data);
+        const std::map<std::int32_t, stream>::iterator found = self.streams_.find(stream_id);
+        if (found != self.streams_.end()) {
+            self.hold(found->second, -static_cast<std::ptrdiff_t>(found->second.held));
+            self.streams_.erase(found);
+        }
         return 0;
     }
 
@@ -205,6 +253,7 @@
             deliver(stream_id);
         }
         flush();
+        owner_.release_excess();
     }
 
     void deliver(std::int32_t stream_id) {
@@ -234,6 +283,7 @@
             return;
         }
         found->second.answered = true;
+        hold(found->second, static_cast<std::ptrdiff_t>(reply.body.size()));
         found->second.body.bytes = std::move(reply.body);
         const std::string status = fmt::format("{}", reply.status);
         const std::array<nghttp2_nv, 2> headers{header_field(":status", status),
@@ -248,6 +298,9 @@
             return;
         }
         flushing_ = true;
+        if (evbuffer_get_length(bufferevent_get_output(transport_)) == 0) {
+            sent_at_ = event_loop::now();
+        }
         const std::int64_t count = send_from(session_, transport_);
         flushing_ = false;
         const bool finished =
@@ -289,6 +342,9 @@
     nghttp2_session* session_ = nullptr;
     std::map<std::int32_t, stream> streams_;
     std::vector<std::int32_t> complete_;
+    std::size_t held_ = 0;
+    time_point sent_at_;
+    bool has_requested_ = false;
     bool closed_ = false;
     bool flushing_ = false;
     bool lingering_ = false;
@@ -332,6 +388,13 @@
 }
 
 void server::accept(int socket) {
+    if (connections_.size() >= settings_.max_connections) {
+        ++limited_connections_;
+        if (!remove_silent()) {
+            ::close(socket);
+            return;
+        }
+    }
     const connection_id id = next_id_++;
     connections_.emplace(id, std::make_shared<connection>(*this, id, socket));
     if (on_open) {
@@ -354,6 +417,42 @@
     loop_.run_after(duration{0}, [removed] {});
 }
 
+bool server::remove_silent() {
+    for (const std::pair<const connection_id, std::shared_ptr<connection>>& entry : connections_) {
+        if (entry.second->is_silent()) {
+            remove(entry.first);
+            return true;
+        }
+    }
+    return false;
+}
+
+void server::release_excess() {
+    while (held_bytes_ > settings_.max_held_bytes) {
+        std::shared_ptr<connection> largest;
+        for (const std::pair<const connection_id, std::shared_ptr<connection>>& entry : connections_) {
+            const bool may_release =
+                entry.second->has_incomplete() || entry.second->is_unread_for(settings_.unread_limit);
+            if (may_release && (largest == nullptr || entry.second->held_bytes() > largest->held_bytes())) {
+                largest = entry.second;
+            }
+        }
+        if (largest == nullptr) {
+            // What is held belongs to requests in work and to answers that are being read.
+            return;
+        }
+        const std::size_t held = held_bytes_;
+        if (largest->has_incomplete()) {
+            ++limited_requests_;
+            largest->refuse_incomplete();
+        }
+        if (held_bytes_ == held) {
+            ++limited_connections_;
+            remove(largest->id());
+        }
+    }
+}
+
 void server::close(connection_id id) {
     remove(id);
 }
--- a/gentianhill/http2/server.h
+++ b/gentianhill/http2/server.h
@@ -26,6 +26,15 @@
     std::size_t max_body_bytes = 1U << 20U;
     /// Requests that one connection may have open at once.
     std::uint32_t max_streams = 1024;
+    /// Connections open at once. A further one takes the place of the oldest that has sent no request, and is
+    /// closed if there is none.
+    std::size_t max_connections = 2048;
+    /// Bytes of all requests that are incomplete or not answered and of all answers that are not sent. When
+    /// there are more, the connection with the most has its incomplete requests refused as not processed, or
+    /// is closed if its client does not read.
+    std::size_t max_held_bytes = 64U << 20U;
+    /// Time without any byte sent after which a client is taken for one that does not read.
+    duration unread_limit = std::chrono::seconds{2};
     /// Time between the shutdown notice and the final GOAWAY.
     duration goaway_delay = std::chrono::milliseconds{100};
 };
@@ -70,6 +79,11 @@
     [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
     /// Requests received and not answered yet.
     [[nodiscard]] std::size_t open_requests() const;
+    /// Bytes of requests that are incomplete or not answered and of answers that are not sent.
+    [[nodiscard]] std::size_t held_bytes() const { return held_bytes_; }
+    /// Connections that were closed to stay within the limits, and requests refused for it.
+    [[nodiscard]] std::uint64_t limited_connections() const { return limited_connections_; }
+    [[nodiscard]] std::uint64_t limited_requests() const { return limited_requests_; }
     /// Bytes received and sent since the start.
     [[nodiscard]] std::uint64_t bytes_received() const { return bytes_received_; }
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
@@ -80,6 +94,11 @@
 
     void accept(int socket);
     void remove(connection_id id);
+    /// Closes the oldest connection that has sent no request; false if there is none.
+    [[nodiscard]] bool remove_silent();
+    /// Refuses requests or closes connections until the held bytes are within their limit, if that is
+    /// possible.
+    void release_excess();
 
     event_loop& loop_;
     server_settings settings_;
@@ -90,6 +109,9 @@
     bool final_goaway_sent_ = false;
     std::map<connection_id, std::shared_ptr<connection>> connections_;
     timer goaway_timer_;
+    std::size_t held_bytes_ = 0;
+    std::uint64_t limited_connections_ = 0;
+    std::uint64_t limited_requests_ = 0;
     std::uint64_t bytes_received_ = 0;
     std::uint64_t bytes_sent_ = 0;
 };
--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -21,6 +21,12 @@
 constexpr std::string_view stopping_detail = "the daemon is stopping";
 constexpr std::string_view timeout_detail = "timeout of the route reached";
 
+constexpr std::string_view session_full_detail = "the session keeps too many values and statements";
+
+std::size_t size_of(const statement& sized) {
+    return sized.id.size() + sized.text.size() + sized.name.size() + sized.argument.size();
+}
+
 bool guarantees_no_effect(statement_outcome outcome) {
     return outcome >= statement_outcome::busy && outcome <= statement_outcome::denied;
 }
@@ -42,6 +48,7 @@
 }
 
 void client_session::submit(statement next) {
+    queued_bytes_ += size_of(next);
     queue_.push_back(std::move(next));
     run_next();
 }
@@ -60,9 +67,11 @@
     }
     running_ = true;
     const std::weak_ptr<bool> alive = alive_;
-    while (!busy_ && !queue_.empty()) {
+    while (!busy_ && !queue_.empty() && (!may_run || may_run())) {
         current_ = std::move(queue_.front());
         queue_.pop_front();
+        current_bytes_ = size_of(current_);
+        queued_bytes_ -= current_bytes_;
         busy_ = true;
         received_at_ = environment_.now();
         pinned_attempts_ = 0;
@@ -147,6 +156,11 @@
 }
 
 void client_session::run_local(const statement& next) {
+    if (next.kind != statement_kind::deallocate && may_keep &&
+        !may_keep(session_state::bytes_of(next.name, next.argument))) {
+        answer_failure(statement_outcome::too_large, session_full_detail);
+        return;
+    }
     switch (next.kind) {
     case statement_kind::set_value:
         values_.set_value(next.name, next.argument);
@@ -623,6 +637,8 @@
                     {"detail", result.detail},
                     {"ms", to_milliseconds(environment_.now() - received_at_)}});
     }
+    // Its text is not used any more; a long one is not kept until the next statement.
+    static_cast<void>(std::exchange(current_, {}));
     const std::weak_ptr<bool> alive = alive_;
     on_answer(result);
     if (!alive.expired()) {
--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -8,6 +8,7 @@
 #include "gentianhill/session/session_state.h"
 #include "gentianhill/session/statement.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -46,8 +47,16 @@
     /// Called with the result of the oldest unanswered statement.
     std::function<void(const statement_result& result)> on_answer;
 
+    /// Asked before a value or a prepared statement is kept, with the bytes that it takes; if false, the
+    /// statement is refused. May be empty.
+    std::function<bool(std::size_t bytes)> may_keep;
+    /// Asked before a queued statement runs; if false, it waits until resume(). May be empty.
+    std::function<bool()> may_run;
+
     /// Queues a statement; statements run one at a time, in order.
     void submit(statement next);
+    /// Runs queued statements that had to wait for may_run.
+    void resume() { run_next(); }
     /// Ends a transaction that exceeds the idle limit, and a statement that exceeds its timeout.
     void tick();
     /// Rolls back the open transaction and releases its connection, unless a statement is running. The next
@@ -59,6 +68,12 @@
     [[nodiscard]] bool is_idle() const { return !busy_ && queue_.empty() && !transaction_; }
     /// True while a statement is running or queued.
     [[nodiscard]] bool has_unanswered() const { return busy_ || !queue_.empty(); }
+    /// Number of statements that are running or queued.
+    [[nodiscard]] std::size_t unanswered() const { return queue_.size() + (busy_ ? 1 : 0); }
+    /// Size of the texts of these statements, in bytes.
+    [[nodiscard]] std::size_t statement_bytes() const { return queued_bytes_ + (busy_ ? current_bytes_ : 0); }
+    /// Memory that values and prepared statements take, in bytes.
+    [[nodiscard]] std::size_t state_bytes() const { return values_.bytes(); }
 
 private:
     struct open_transaction {
@@ -120,6 +135,9 @@
     proxy_counters& counters_;
     session_state values_;
     std::deque<statement> queue_;
+    std::size_t queued_bytes_ = 0;
+    /// Size of the running statement, in bytes.
+    std::size_t current_bytes_ = 0;
     std::optional<open_transaction> transaction_;
     std::shared_ptr<statement_task> task_;
     /// Running statement.
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -559,7 +559,8 @@
 }
 
 void database_group::on_failure(proxy_instance& instance, disconnect_reason reason) {
-    const bool is_alive = reason == disconnect_reason::rejected || reason == disconnect_reason::out_of_step;
+    const bool is_alive = reason == disconnect_reason::rejected || reason == disconnect_reason::out_of_step ||
+                          reason == disconnect_reason::too_large;
     if (instance.listed().id == primary_id_ && !is_alive) {
         failure_detector_.on_failure(reason == disconnect_reason::refused, now());
     }
--- a/gentianhill/proxy/instance_link.h
+++ b/gentianhill/proxy/instance_link.h
@@ -84,6 +84,8 @@
     timed_out,
     /// The instance answers, but not in the order of the commands.
     out_of_step,
+    /// An answer took more memory than one may.
+    too_large,
     /// Closed by this process, because it was idle or its statement was abandoned.
     closed_locally,
 };
--- a/gentianhill/relay/relay_transport.cpp
+++ b/gentianhill/relay/relay_transport.cpp
@@ -29,6 +29,9 @@
     http2::server_settings result;
     result.listen = settings.listen;
     result.max_body_bytes = settings.max_request_bytes;
+    result.max_connections = settings.max_connections;
+    result.max_held_bytes = settings.max_held_bytes;
+    result.max_streams = static_cast<std::uint32_t>(settings.max_open_requests);
     return result;
 }
 
--- a/gentianhill/relay/relay_transport.h
+++ b/gentianhill/relay/relay_transport.h
@@ -20,6 +20,9 @@
     endpoint listen;
     /// Largest request, in bytes.
     std::size_t max_request_bytes = 64U << 10U;
+    /// Connections of other daemons open at once, and bytes of their requests and answers.
+    std::size_t max_connections = 512;
+    std::size_t max_held_bytes = 64U << 20U;
     /// Largest answer, in bytes. A whole collection of the aim's size has about 4 MB.
     std::size_t max_answer_bytes = 16U << 20U;
     /// Longest time to establish a connection.
--- a/gentianhill/session/session_state.cpp
+++ b/gentianhill/session/session_state.cpp
@@ -51,14 +51,28 @@
 }
 
 void session_state::set_value(std::string_view name, std::string_view value) {
-    values_.insert_or_assign(std::string(name), std::string(value));
+    const value_map::iterator found = values_.find(name);
+    if (found != values_.end()) {
+        bytes_ = bytes_ - bytes_of(name, found->second) + bytes_of(name, value);
+        found->second = value;
+        return;
+    }
+    bytes_ += bytes_of(name, value);
+    values_.emplace(name, value);
 }
 
 bool session_state::prepare(std::string_view name, const prepared_statement& prepared) {
-    if (prepared_.size() >= max_prepared && prepared_.find(name) == prepared_.end()) {
+    const std::map<std::string, prepared_statement, std::less<>>::iterator found = prepared_.find(name);
+    if (found == prepared_.end() && prepared_.size() >= max_prepared) {
         return false;
     }
-    prepared_.insert_or_assign(std::string(name), prepared);
+    bytes_ += bytes_of(name, prepared.shape);
+    if (found != prepared_.end()) {
+        bytes_ -= bytes_of(name, found->second.shape);
+        found->second = prepared;
+        return true;
+    }
+    prepared_.emplace(name, prepared);
     return true;
 }
 
@@ -67,6 +81,7 @@
     if (found == prepared_.end()) {
         return false;
     }
+    bytes_ -= bytes_of(name, found->second.shape);
     prepared_.erase(found);
     return true;
 }
--- a/gentianhill/session/session_state.h
+++ b/gentianhill/session/session_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,6 +35,12 @@
     bool deallocate(std::string_view name);
     /// Returns the statement prepared under a name; null when there is none.
     [[nodiscard]] const prepared_statement* find_prepared(std::string_view name) const;
+    /// Memory that the values and prepared statements take, in bytes.
+    [[nodiscard]] std::size_t bytes() const { return bytes_; }
+    /// Memory that a name and its value or shape take, in bytes.
+    [[nodiscard]] static std::size_t bytes_of(std::string_view name, std::string_view value) {
+        return name.size() + value.size() + entry_bytes;
+    }
     /// All session values.
     [[nodiscard]] const value_map& values() const { return values_; }
 
@@ -41,8 +48,12 @@
     static constexpr std::size_t max_prepared = 1000;
 
 private:
+    /// Bytes of an entry besides its name and value: nodes of the containers and of the allocator.
+    static constexpr std::size_t entry_bytes = 192;
+
     value_map values_;
     std::map<std::string, prepared_statement, std::less<>> prepared_;
+    std::size_t bytes_ = 0;
 };
 
 } // namespace gentianhill
--- a/tests/http2/client_server_tests.cpp
+++ b/tests/http2/client_server_tests.cpp
@@ -339,3 +339,37 @@
     REQUIRE(fixture.reply);
     CHECK(fixture.reply->body == "{}");
 }
+
+// Guards against clients that fill the memory of the host with silent connections.
+TEST_CASE_FIXTURE(loopback_fixture, "server_connection_beyond_limit_takes_the_place_of_a_silent_one") {
+    http2::server_settings settings;
+    settings.listen = endpoint{"127.0.0.1", 0};
+    settings.max_connections = 2;
+    server = std::make_unique<http2::server>(loop, settings);
+    server->on_request = [](http2::connection_id, const http2::request& request,
+                            const http2::server::responder& respond) {
+        respond(http2::response{200, request.path});
+    };
+    error reason;
+    REQUIRE(server->listen(reason));
+    connect();
+    bool answered = false;
+    client->send({"GET", "/first", ""}, 1s,
+                 [&answered](const std::optional<http2::response>& reply, const error&) {
+                     answered = reply.has_value();
+                 });
+    REQUIRE(loop.run_until([&answered] { return answered; }, 2s));
+    const int silent = connect_raw();
+    REQUIRE(loop.run_until([this] { return server->connection_count() == 2; }, 2s));
+    const int next = connect_raw();
+    REQUIRE(loop.run_until([this] { return server->limited_connections() == 1; }, 2s));
+    CHECK(server->connection_count() == 2);
+    answered = false;
+    client->send({"GET", "/second", ""}, 1s,
+                 [&answered](const std::optional<http2::response>& reply, const error&) {
+                     answered = reply.has_value();
+                 });
+    CHECK(loop.run_until([&answered] { return answered; }, 2s));
+    close(silent);
+    close(next);
+}
--- a/tests/platform/client_listener_tests.cpp
+++ b/tests/platform/client_listener_tests.cpp
@@ -99,6 +99,7 @@
     standins::http_platform platform{loop};
     logger log{log_settings{}};
     metrics registry;
+    client_limits limits{{}, registry};
     std::unique_ptr<proxy> daemon;
     std::unique_ptr<client_listener> clients;
     time_point stopped_at;
@@ -150,7 +151,7 @@
         ports.now = [this] { return clock; };
         ports.random = [] { return 0.5; };
         daemon = std::make_unique<proxy>(settings, std::move(ports), log, registry);
-        clients = std::make_unique<client_listener>(flusher, *daemon, log, [this] { return clock; });
+        clients = std::make_unique<client_listener>(flusher, *daemon, log, limits, [this] { return clock; });
         error reason;
         REQUIRE(clients->listen({"127.0.0.1", 0}, reason));
         daemon->on_close_idle_sessions = [this] { clients->close_idle(); };
@@ -379,6 +380,26 @@
     CHECK(!client->was_reset());
 }
 
+// Guards against statements sent ahead that are dropped or mixed up where reading pauses.
+TEST_CASE_FIXTURE(configured_listener_fixture,
+                  "client_listener_many_statements_sent_ahead_are_all_answered") {
+    constexpr std::size_t count = 1000;
+    std::string sent;
+    for (std::size_t i = 0; i < count; ++i) {
+        sent += fmt::format("QUERY s{} {}\r\n", i, i % 10 == 0 ? "DEALLOC none" : "SET name value");
+    }
+    client->send(sent);
+    REQUIRE(await_answers(*client, count));
+    std::size_t errors = 0;
+    for (std::size_t at = client->received().find("ERROR NOSTMT none"); at != std::string::npos;
+         at = client->received().find("ERROR NOSTMT none", at + 1)) {
+        ++errors;
+    }
+    CHECK(errors == count / 10);
+    CHECK(client->answer_count() == count);
+    CHECK(limits.budget().used() < 64U << 10U);
+}
+
 // Guards against a statement that is read while those in flight are given up, and dropped without an answer.
 TEST_CASE_FIXTURE(configured_listener_fixture, "client_listener_statement_in_last_phase_is_refused") {
     client->send("QUERY b1 BEGIN\r\n");
--- a/tests/platform/line_socket_tests.cpp
+++ b/tests/platform/line_socket_tests.cpp
@@ -155,3 +155,42 @@
     CHECK(close_reason == socket_close_reason::line_too_long);
     CHECK(lines.size() == 1);
 }
+
+// Guards against statements that are lost, or passed on out of turn, when a client sends many ahead.
+TEST_CASE_FIXTURE(socket_fixture, "line_socket_paused_in_the_middle_of_lines_passes_the_rest_on_later") {
+    accept();
+    socket->on_line = [this](std::string_view line) {
+        lines.emplace_back(line);
+        if (lines.size() % 2 == 0) {
+            socket->pause_reading();
+        }
+    };
+    receive("1\r\n2\r\n3\r\n4\r\n5");
+    REQUIRE(await_lines(2));
+    loop.run_until([] { return false; }, 20ms);
+    CHECK(lines.size() == 2);
+    socket->resume_reading();
+    REQUIRE(await_lines(4));
+    receive("5\r\n6\r\n");
+    CHECK(lines.size() == 4);
+    CHECK(socket->unread_bytes() == 6);
+    socket->resume_reading();
+    REQUIRE(await_lines(6));
+    CHECK(lines == std::vector<std::string>{"1", "2", "3", "4", "55", "6"});
+}
+
+// Guards against input without a bound while the owner has no room for it.
+TEST_CASE_FIXTURE(socket_fixture, "line_socket_without_room_leaves_input_in_the_kernel") {
+    accept();
+    bool has_room = false;
+    socket->may_read = [&has_room](std::size_t partial_bytes) { return has_room || partial_bytes < 4096; };
+    receive(std::string(200'000, 'x'));
+    CHECK(socket->is_paused());
+    CHECK(socket->input_bytes() <= 4096 + 16384);
+    has_room = true;
+    socket->resume_reading();
+    receive("\r\n");
+    REQUIRE(await_lines(1));
+    CHECK(lines.front().size() == 200'000);
+    CHECK(socket->input_memory() <= 65'536);
+}
