client_listener: room for new clients beside crowds that stop in the middle

On HTTP/2 ports the connection that has been quiet the longest without a request in work makes room. Low limits count as the lowest ones that work.

--- a/gentianhill/budget/memory_holder.h
+++ b/gentianhill/budget/memory_holder.h
@@ -31,6 +31,7 @@
     [[nodiscard]] bool may_keep(std::size_t added) const;
     /// States that the connection gets on: input arrived, or an answer was taken.
     void note_progress(time_point now) { progress_at_ = now; }
+    [[nodiscard]] time_point progress_at() const { return progress_at_; }
     /// Memory held for all uses in bytes.
     [[nodiscard]] std::size_t held() const { return held_; }
     [[nodiscard]] std::size_t held(memory_use use) const { return bytes_[static_cast<std::size_t>(use)]; }
--- a/gentianhill/budget/process_limits.cpp
+++ b/gentianhill/budget/process_limits.cpp
@@ -11,13 +11,18 @@
 constexpr std::size_t own_memory_mb = 32;
 /// Descriptors that hosts set aside for files.
 constexpr std::size_t file_descriptors = 200;
+/// On a host with less, a message of full size could not be served.
+constexpr std::size_t min_divided_mb = 32;
+constexpr std::size_t min_divided_sockets = 64;
 
 } // namespace
 
 process_limits process_limits::from(std::size_t memory_limit_mb, std::size_t descriptor_limit) {
     const std::size_t memory =
-        memory_limit_mb > own_memory_mb ? (memory_limit_mb - own_memory_mb) * bytes_per_megabyte : 0;
-    const std::size_t sockets = descriptor_limit > file_descriptors ? descriptor_limit - file_descriptors : 0;
+        bytes_per_megabyte * std::max(memory_limit_mb, own_memory_mb + min_divided_mb) -
+        bytes_per_megabyte * own_memory_mb;
+    const std::size_t sockets =
+        std::max(descriptor_limit, file_descriptors + min_divided_sockets) - file_descriptors;
     process_limits result;
     // The rest covers what the allocator takes beyond the bytes that are counted, and bytes that arrive
     // between two looks at the sockets.
--- a/gentianhill/http2/server.cpp
+++ b/gentianhill/http2/server.cpp
@@ -45,7 +45,7 @@
 class server::connection : public std::enable_shared_from_this<server::connection> {
 public:
     connection(server& owner, connection_id id, int socket)
-        : owner_(owner), id_(id), sent_at_(event_loop::now()) {
+        : owner_(owner), id_(id), sent_at_(event_loop::now()), received_at_(sent_at_) {
         set_no_delay(socket);
         transport_ = bufferevent_socket_new(owner.loop_.native(), socket,
                                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -107,7 +107,16 @@
         return evbuffer_get_length(bufferevent_get_output(transport_)) > 0 &&
                event_loop::now() - sent_at_ >= limit;
     }
-    [[nodiscard]] bool is_silent() const { return !has_requested_; }
+    /// True if no request is in work, and none arrives in part unless its client has stopped sending it.
+    [[nodiscard]] bool may_make_room(duration limit) const {
+        const bool is_in_work = std::any_of(
+            streams_.begin(), streams_.end(),
+            [](const std::pair<const std::int32_t, stream>& entry) { return entry.second.delivered; });
+        const bool has_stopped = event_loop::now() - received_at_ >= limit;
+        return is_in_work ? is_unread_for(limit) : streams_.empty() || has_stopped;
+    }
+    /// Time of the last bytes of a client that has sent a request; the earliest time for another.
+    [[nodiscard]] time_point quiet_since() const { return has_requested_ ? received_at_ : time_point::min(); }
     [[nodiscard]] connection_id id() const { return id_; }
 
     void send_shutdown_notice() {
@@ -237,6 +246,7 @@
             evbuffer_drain(input, evbuffer_get_length(input));
             return;
         }
+        received_at_ = event_loop::now();
         const std::shared_ptr<connection> keep = shared_from_this();
         const std::int64_t count = receive_into(session_, transport_);
         if (count < 0) {
@@ -344,6 +354,7 @@
     std::vector<std::int32_t> complete_;
     std::size_t held_ = 0;
     time_point sent_at_;
+    time_point received_at_;
     bool has_requested_ = false;
     bool closed_ = false;
     bool flushing_ = false;
@@ -390,7 +401,7 @@
 void server::accept(int socket) {
     if (connections_.size() >= settings_.max_connections) {
         ++limited_connections_;
-        if (!remove_silent()) {
+        if (!remove_quietest()) {
             ::close(socket);
             return;
         }
@@ -417,14 +428,18 @@
     loop_.run_after(duration{0}, [removed] {});
 }
 
-bool server::remove_silent() {
+bool server::remove_quietest() {
+    std::shared_ptr<connection> quietest;
     for (const std::pair<const connection_id, std::shared_ptr<connection>>& entry : connections_) {
-        if (entry.second->is_silent()) {
-            remove(entry.first);
-            return true;
+        if (entry.second->may_make_room(settings_.stall_limit) &&
+            (quietest == nullptr || entry.second->quiet_since() < quietest->quiet_since())) {
+            quietest = entry.second;
         }
     }
-    return false;
+    if (quietest != nullptr) {
+        remove(quietest->id());
+    }
+    return quietest != nullptr;
 }
 
 void server::release_excess() {
@@ -432,7 +447,7 @@
         std::shared_ptr<connection> largest;
         for (const std::pair<const connection_id, std::shared_ptr<connection>>& entry : connections_) {
             const bool may_release =
-                entry.second->has_incomplete() || entry.second->is_unread_for(settings_.unread_limit);
+                entry.second->has_incomplete() || entry.second->is_unread_for(settings_.stall_limit);
             if (may_release && (largest == nullptr || entry.second->held_bytes() > largest->held_bytes())) {
                 largest = entry.second;
             }
--- a/gentianhill/http2/server.h
+++ b/gentianhill/http2/server.h
@@ -26,15 +26,16 @@
     std::size_t max_body_bytes = 1U << 20U;
     /// Requests that one connection may have open at once.
     std::uint32_t max_streams = 1024;
-    /// Connections open at once. A further one takes the place of the oldest that has sent no request, and is
-    /// closed if there is none.
+    /// Connections open at once. A further one takes the place of one that has no request in work: the one
+    /// that has been quiet the longest, those that never sent a request first. It is closed if there is none.
     std::size_t max_connections = 2048;
     /// Bytes of all requests that are incomplete or not answered and of all answers that are not sent. When
     /// there are more, the connection with the most has its incomplete requests refused as not processed, or
     /// is closed if its client does not read.
     std::size_t max_held_bytes = 64U << 20U;
-    /// Time without any byte sent after which a client is taken for one that does not read.
-    duration unread_limit = std::chrono::seconds{2};
+    /// Time without any byte sent or received after which a client is taken for one that does not read, or
+    /// that does not complete its requests.
+    duration stall_limit = std::chrono::seconds{2};
     /// Time between the shutdown notice and the final GOAWAY.
     duration goaway_delay = std::chrono::milliseconds{100};
 };
@@ -94,8 +95,8 @@
 
     void accept(int socket);
     void remove(connection_id id);
-    /// Closes the oldest connection that has sent no request; false if there is none.
-    [[nodiscard]] bool remove_silent();
+    /// Closes a connection that has no request in work; false if there is none.
+    [[nodiscard]] bool remove_quietest();
     /// Refuses requests or closes connections until the held bytes are within their limit, if that is
     /// possible.
     void release_excess();
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -70,10 +70,10 @@
                              "Time in which a connection to the store that has gone silent must be noticed. "
                              "Longer ones cost fewer calls."));
     result.push_back(
-        make_integer_setting("memory_limit_mb", default_memory_limit_mb, 64, 1'000'000, "MB",
+        make_integer_setting("memory_limit_mb", default_memory_limit_mb, 1, 1'000'000, "MB",
                              "Memory of the host that the process may use, bytes in socket buffers included. "
                              "Clients and peers are limited so that it is not exceeded."));
-    result.push_back(make_integer_setting("descriptor_limit", default_descriptor_limit, 400, 1'000'000,
+    result.push_back(make_integer_setting("descriptor_limit", default_descriptor_limit, 1, 1'000'000,
                                           "descriptors", "File descriptors that the process may open."));
     setting_definition level;
     level.name = "log_level";
--- a/tests/clients.cmake
+++ b/tests/clients.cmake
@@ -7,6 +7,7 @@
 add_dependencies(gentianhill_client_crowd_tests gentianhill-edge)
 target_compile_definitions(gentianhill_client_crowd_tests PRIVATE
   GENTIANHILL_EDGE_PROGRAM="$<TARGET_FILE:gentianhill-edge>")
+set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS clients/client_crowd_tests.cpp)
 file(STRINGS clients/client_crowd_tests.cpp cases REGEX "^TEST_CASE_FIXTURE")
 foreach(line ${cases})
   string(REGEX REPLACE ".*\"(.*)\".*" "\\1" case "${line}")
--- a/tests/clients/client_crowd_tests.cpp
+++ b/tests/clients/client_crowd_tests.cpp
@@ -160,6 +160,25 @@
     check_bounds_and_service();
 }
 
+TEST_CASE_FIXTURE(edge_deployment, "clients_half_statements_beyond_descriptors") {
+    add_clients(too_many_connections, client_port(),
+                sends(1, [](std::size_t) { return std::string("QUERY r1 READ"); }));
+    play();
+    check_new_session_beside_crowd();
+    check_bounds_and_service();
+}
+
+TEST_CASE_FIXTURE(edge_deployment, "clients_that_read_nothing_beyond_descriptors") {
+    client_behaviour silent = sends(5'000, [](std::size_t number) {
+        return fmt::format("QUERY {} DEALLOC {}\r\n", number, std::string(1000, 'n'));
+    });
+    silent.reads_per_step = 0;
+    add_clients(too_many_connections, client_port(), silent);
+    play();
+    check_new_session_beside_crowd();
+    check_bounds_and_service();
+}
+
 TEST_CASE_FIXTURE(edge_deployment, "clients_session_values_without_end") {
     add_clients(6, client_port(), sends(25'000, [](std::size_t number) {
                     return fmt::format("QUERY s{} SET v{} {}\r\n", number, number, std::string(1000, 'x'));
--- a/tests/clients/edge_deployment.cpp
+++ b/tests/clients/edge_deployment.cpp
@@ -212,19 +212,27 @@
     return client.received().find(text) != std::string::npos;
 }
 
-void edge_deployment::check_bounds_and_service() {
-    calm_session_->forget_received();
-    calm_session_->send_text("QUERY calm READ a\r\n");
-    CHECK_MESSAGE(await(*calm_session_, signed_answer), "the calm session is not served");
-    dismiss_crowd();
+bool edge_deployment::is_new_session_served() {
     bool is_served = false;
     for (const time_point limit = event_loop::now() + give_up_time;
          !is_served && is_alive() && event_loop::now() < limit;) {
         crowd_client ordinary(client_port(), {});
-        ordinary.send_text(startup + "QUERY after READ a\r\n");
+        ordinary.send_text(startup + "QUERY new READ a\r\n");
         is_served = await(ordinary, signed_answer);
     }
-    CHECK_MESSAGE(is_served, "an ordinary read is not answered");
+    return is_served;
+}
+
+void edge_deployment::check_new_session_beside_crowd() {
+    CHECK_MESSAGE(is_new_session_served(), "a new session is not served beside the crowd");
+}
+
+void edge_deployment::check_bounds_and_service() {
+    calm_session_->forget_received();
+    calm_session_->send_text("QUERY calm READ a\r\n");
+    CHECK_MESSAGE(await(*calm_session_, signed_answer), "the calm session is not served");
+    dismiss_crowd();
+    CHECK_MESSAGE(is_new_session_served(), "an ordinary read is not answered");
     CHECK_MESSAGE(is_alive(), "the process has ended: ", end_);
     MESSAGE(fmt::format("resident {:.1f} MB, with unread bytes {:.1f} MB, {} descriptors",
                         to_megabytes(peak_.resident_bytes), to_megabytes(peak_.held_bytes),
--- a/tests/clients/edge_deployment.h
+++ b/tests/clients/edge_deployment.h
@@ -52,6 +52,8 @@
     [[nodiscard]] bool await_single(const std::string& text) { return await(crowd_.front(), text); }
     /// Closes all connections of the crowd.
     void dismiss_crowd();
+    /// Checks that a new session is served while the crowd stays connected.
+    void check_new_session_beside_crowd();
     /// Checks that the process lives, has kept its bounds and answers an ordinary read, first of the session
     /// that was calm all the time, then of a new one once the crowd is gone.
     void check_bounds_and_service();
@@ -63,6 +65,8 @@
     /// Steps a client until it has received a text; false if that does not come.
     [[nodiscard]] bool await(crowd_client& client, const std::string& text);
     [[nodiscard]] bool is_alive();
+    /// True if a read of a new session is answered.
+    [[nodiscard]] bool is_new_session_served();
 
     event_loop loop_;
     standins::exchange_ledger ledger_;
