--- a/tests/clients/edge_deployment.h
+++ b/tests/clients/edge_deployment.h
@@ -62,9 +62,11 @@
     void start_platform();
     void start_process();
     void sample();
-    /// Steps a client until it has received a text; false if that does not come.
+    /// Steps a client until it has received a text; false if an error or nothing comes.
     [[nodiscard]] bool await(crowd_client& client, const std::string& text);
     [[nodiscard]] bool is_alive();
+    /// True if a read of the session that was calm is answered; sent again when it is refused.
+    [[nodiscard]] bool is_calm_session_served();
     /// True if a read of a new session is answered.
     [[nodiscard]] bool is_new_session_served();
 
