--- a/gentianhill/proxy/client_session.h
+++ b/gentianhill/proxy/client_session.h
@@ -12,6 +12,7 @@
 #include "gentianhill/teams/caller_check.h"
 #include "gentianhill/teams/key_digest.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -77,6 +78,12 @@
     /// Called with the result of the oldest unanswered statement.
     std::function<void(const statement_result& result)> on_answer;
 
+    /// Asked before a value or a prepared statement is kept, with the bytes that it takes; if false, the
+    /// statement is refused. May be empty.
+    std::function<bool(std::size_t bytes)> may_keep;
+    /// Asked before a queued statement runs; if false, it waits until resume(). May be empty.
+    std::function<bool()> may_run;
+
     /// Queues a statement; statements run one at a time, in order.
     void submit(statement next) { submit(std::move(next), environment_.now()); }
     /// Queues a statement that another daemon received at that time.
@@ -87,6 +94,8 @@
     /// name; null keeps either.
     void adopt_values(const session_state::value_map* values, const std::string& name,
                       const prepared_statement* prepared);
+    /// Runs queued statements that had to wait for may_run.
+    void resume() { run_next(); }
     /// Ends a transaction that exceeds the idle limit, and a statement that exceeds its timeout.
     void tick();
     /// Rolls back the open transaction and releases its connection, unless a statement is running. The next
@@ -100,6 +109,12 @@
     [[nodiscard]] bool may_stay() const;
     /// True while a statement is running or queued.
     [[nodiscard]] bool has_unanswered() const { return busy_ || !queue_.empty(); }
+    /// Number of statements that are running or queued.
+    [[nodiscard]] std::size_t unanswered() const { return queue_.size() + (busy_ ? 1 : 0); }
+    /// Size of the texts of these statements, in bytes.
+    [[nodiscard]] std::size_t statement_bytes() const { return queued_bytes_ + (busy_ ? current_bytes_ : 0); }
+    /// Memory that values and prepared statements take, in bytes.
+    [[nodiscard]] std::size_t state_bytes() const { return values_.bytes(); }
 
 private:
     struct open_transaction {
@@ -194,6 +209,9 @@
     proxy_counters& counters_;
     session_state values_;
     std::deque<queued_statement> queue_;
+    std::size_t queued_bytes_ = 0;
+    /// Size of the running statement, in bytes.
+    std::size_t current_bytes_ = 0;
     std::optional<open_transaction> transaction_;
     std::shared_ptr<statement_task> task_;
     /// Request to the quota that is not answered yet; `admissions_` numbers them, so that a late answer to an
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -471,6 +471,7 @@
     const route& selected = *request.selected_route;
     queued_statement described;
     described.priority = selected.priority;
+    described.team = request.team;
     described.lane = lane_of(task.query());
     const duration service = expected_service(described.lane);
     const duration slow_service = slow_service_of(described.lane);
@@ -860,7 +861,8 @@
 }
 
 void database_group::on_failure(proxy_instance& instance, disconnect_reason reason) {
-    const bool is_alive = reason == disconnect_reason::rejected || reason == disconnect_reason::out_of_step;
+    const bool is_alive = reason == disconnect_reason::rejected || reason == disconnect_reason::out_of_step ||
+                          reason == disconnect_reason::too_large;
     if (instance.listed().id == primary_id_ && !is_alive) {
         failure_detector_.on_failure(reason == disconnect_reason::refused, now());
     }
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// Memory and descriptors of the smallest hosts that daemons run on.
+constexpr std::int64_t default_memory_limit_mb = 160;
+constexpr std::int64_t default_descriptor_limit = 4300;
+
 setting_definition make_text(const char* name, setting_type type, const char* help) {
     setting_definition result;
     result.name = name;
@@ -77,6 +81,12 @@
                                          "the team."));
     result.push_back(make_number_setting("quota_slack", "20", 0, 1'000'000, "operations",
                                          "Operations in a window that may exceed the limit besides."));
+    result.push_back(
+        make_integer_setting("memory_limit_mb", default_memory_limit_mb, 1, 1'000'000, "MB",
+                             "Memory of the host that the process may use, bytes in socket buffers included. "
+                             "Clients and peers are limited so that it is not exceeded."));
+    result.push_back(make_integer_setting("descriptor_limit", default_descriptor_limit, 1, 1'000'000,
+                                          "descriptors", "File descriptors that the process may open."));
     setting_definition level;
     level.name = "log_level";
     level.type = setting_type::choice;
@@ -155,6 +165,8 @@
     result.promotion_service = parse_address(values, "promotion_service");
     result.level = log_level_from(values.text("log_level")).value_or(log_level::info);
     result.log_repeats_per_second = values.integer("log_repeats_per_second");
+    result.memory_limit_mb = static_cast<std::size_t>(values.integer("memory_limit_mb"));
+    result.descriptor_limit = static_cast<std::size_t>(values.integer("descriptor_limit"));
     return result;
 }
 
