--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -75,6 +75,12 @@
 /// Share of an instance's connections divided among the proxies; the rest is left for proxies that start or
 /// are replaced.
 constexpr double connection_share = 0.85;
+/// A guest's control connection is closed after this time without use: the next status call of a poll that
+/// opened it follows within two periods of the periodic work.
+constexpr duration guest_control_idle_timeout = 100ms;
+/// Longest time for which statements wait for the first read point: an instance counts the connections of a
+/// process that has ended for 3 s.
+constexpr duration warm_up_limit = 3500ms;
 /// Statements in flight beyond the instance's slots, to keep it busy while answers are in transit.
 constexpr std::size_t in_flight_reserve = 2;
 /// Cost added for an instance without a free connection; above any difference in latency.
@@ -93,6 +99,8 @@
     : statements(registry.add_counter("gentianhill_statements_total", "Statements answered.")),
       refused(
           registry.add_counter("gentianhill_statements_refused_total", "Statements answered as not run.")),
+      callers_refused(registry.add_counter("gentianhill_callers_refused_total",
+                                           "Sessions and statements refused because of the caller's key.")),
       refused_on_arrival(registry.add_counter("gentianhill_statements_refused_on_arrival_total",
                                               "Statements refused because the queue ahead is too long.")),
       refused_in_queue(
@@ -130,6 +138,7 @@
       clock_(std::move(clock)),
       trust_(settings.trust_window),
       failure_detector_(settings.failure_detector) {
+    watching_since_ = now();
     failure_detector_.reset(false, now());
     settlement_.unsettle(now());
 }
@@ -223,6 +232,61 @@
     }
 }
 
+void database_group::set_role(group_role role, std::size_t connections) {
+    const bool was_watching = is_watching();
+    const bool is_new = role != role_;
+    role_ = role;
+    const instance_pool_settings defaults;
+    settings_.pool.idle_timeout = defaults.idle_timeout;
+    settings_.pool.min_idle = defaults.min_idle;
+    settings_.pool.control_idle_timeout = defaults.control_idle_timeout;
+    switch (role) {
+    case group_role::shared:
+        break;
+    case group_role::owner:
+        settings_.pool.max_connections = connections;
+        settings_.pool.idle_timeout = settings_.owner_idle_timeout;
+        break;
+    case group_role::guest:
+        // What this daemon does not use belongs to the owners.
+        settings_.pool.max_connections = connections;
+        settings_.pool.idle_timeout = duration(0);
+        settings_.pool.min_idle = 0;
+        settings_.pool.control_idle_timeout = guest_control_idle_timeout;
+        break;
+    }
+    set_limits(limits_, 0);
+    if (is_new && !was_watching && is_watching()) {
+        begin_watching();
+    }
+}
+
+bool database_group::is_watching() const {
+    return role_ != group_role::guest || unservable_since_ ||
+           now() - last_statement_ < settings_.guest_interest;
+}
+
+void database_group::note_statement() {
+    const bool was_watching = is_watching();
+    last_statement_ = now();
+    if (!was_watching) {
+        begin_watching();
+    }
+}
+
+void database_group::begin_watching() {
+    // What was not watched says nothing about the primary.
+    watching_since_ = now();
+    failure_detector_.reset(!primary_id_.empty(), watching_since_);
+    last_poll_ = time_point{};
+    poll_instances();
+}
+
+bool database_group::is_warming_up() const {
+    const std::optional<time_point> newest = read_points_.newest_at();
+    return now() - watching_since_ < warm_up_limit && (!newest || *newest < watching_since_);
+}
+
 void database_group::begin_era(std::uint64_t era, time_point evidence_from) {
     era_ = era;
     settlement_.unsettle_for_new_era(evidence_from);
@@ -247,6 +311,7 @@
 }
 
 placement database_group::place(const placement_query& query) {
+    note_statement();
     return lane_of(query) == statement_lane::any_instance ? place_read(query) : place_at_primary(query);
 }
 
@@ -267,7 +332,7 @@
     }
     last_trust_use_ = now();
     if (!instance->is_usable()) {
-        static_cast<void>(instance->open_more(1));
+        static_cast<void>(instance->open_more(1, query.team));
         return {nullptr, std::nullopt, placement_wait::no_primary};
     }
     // The outcome of a write would be in doubt.
@@ -333,13 +398,15 @@
             continue;
         }
         if (!instance.is_usable()) {
-            static_cast<void>(instance.open_more(1));
+            static_cast<void>(instance.open_more(1, query.team));
             continue;
         }
-        const bool full = !instance.has_room() || (!instance.has_idle() && !instance.open_more(1));
-        const bool probes =
-            query.access == access_kind::read && instance.has_idle() && instance.errors().is_probe_due(now());
-        const double total_cost = (probes ? 0.0 : cost(instance, min_position)) + (full ? full_cost_ms : 0.0);
+        const bool full =
+            !instance.has_room() || (!instance.has_idle(query.team) && !instance.open_more(1, query.team));
+        const bool probes = query.access == access_kind::read && instance.has_idle(query.team) &&
+                            instance.errors().is_probe_due(now());
+        const double total_cost =
+            (probes ? 0.0 : cost(instance, min_position, query.team)) + (full ? full_cost_ms : 0.0);
         const bool is_excluded = std::find(query.excluded_instances->begin(), query.excluded_instances->end(),
                                            entry.first) != query.excluded_instances->end();
         if (is_excluded || instance.lag().is_behind(min_position, now())) {
@@ -359,12 +426,13 @@
     return chosen;
 }
 
-double database_group::cost(const proxy_instance& instance, const log_position& min_position) const {
+double database_group::cost(const proxy_instance& instance, const log_position& min_position,
+                            std::string_view team) const {
     double expected_cost = instance.expected_ms();
     if (instance.listed().zone != settings_.zone) {
         expected_cost += settings_.other_zone_ms;
     }
-    if (!instance.has_idle()) {
+    if (!instance.has_idle(team)) {
         // Those that wait already take the connections that are opened first.
         const double turns = static_cast<double>(queue_.size(statement_lane::any_instance)) /
                              static_cast<double>(instance.limits().max_opening);
@@ -390,9 +458,9 @@
 
 placement database_group::take_connection(proxy_instance& instance, const placement_query& query,
                                           std::optional<log_position> min_position) {
-    pooled_connection* connection = instance.take(*query.session);
+    pooled_connection* connection = instance.take(*query.session, query.team);
     if (connection == nullptr) {
-        static_cast<void>(instance.open_more(queue_.size() + 1));
+        static_cast<void>(instance.open_more(queue_.size() + 1, query.team));
         return {nullptr, std::nullopt, placement_wait::no_connection};
     }
     return {connection, min_position, placement_wait::none};
@@ -498,9 +566,9 @@
         queued_tasks_.erase(id);
         return offer_result::left_queue;
     }
-    // Others of the lane may use an instance that this one avoids.
-    const bool may_differ =
-        task->avoids_instances() || (lane_of(task->query()) == statement_lane::any_instance && has_lagging());
+    // Others of the lane may use an instance that this one avoids, or the connections of another team.
+    const bool may_differ = !task->task_request().team.empty() || task->avoids_instances() ||
+                            (lane_of(task->query()) == statement_lane::any_instance && has_lagging());
     return task->wait_reason() == placement_wait::no_connection && !may_differ ? offer_result::lane_is_full
                                                                                : offer_result::waits;
 }
@@ -804,20 +872,20 @@
     open_polls_.erase(instance.listed().id);
 }
 
-void database_group::poll_status(proxy_instance& instance) {
+bool database_group::poll_status(proxy_instance& instance) {
     const std::string& id = instance.listed().id;
     const time_point current = now();
     const std::map<std::string, status_poll>::iterator open = open_polls_.find(id);
     if (open != open_polls_.end() && current - open->second.sent_at < status_timeout) {
-        return;
+        return true;
     }
     const std::map<std::string, time_point>::iterator last = status_sent_at_.find(id);
     if (last != status_sent_at_.end() && current - last->second < status_spacing) {
-        return;
+        return true;
     }
     pooled_connection* connection = instance.take_for_status_call();
     if (connection == nullptr) {
-        return;
+        return false;
     }
     open_polls_.insert_or_assign(id, status_poll{current, connection->number()});
     status_sent_at_[id] = current;
@@ -835,6 +903,7 @@
                        {{"instance", id}, {"outcome", to_string(answer.result.outcome)}});
         }
     });
+    return true;
 }
 
 void database_group::on_status(proxy_instance& instance, const instance_status& status, time_point sent_at) {
@@ -1094,13 +1163,15 @@
 
 void database_group::poll_instances() {
     const time_point current = now();
-    if (current - last_poll_ < poll_interval) {
+    if (!is_watching() || current - last_poll_ < poll_interval) {
         return;
     }
-    last_poll_ = current;
+    bool is_sent = instances_.empty();
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
-        poll_status(*entry.second);
+        is_sent = poll_status(*entry.second) || is_sent;
     }
+    // While all connections are being opened, the next periodic work tries again.
+    last_poll_ = is_sent ? current : last_poll_;
 }
 
 bool database_group::is_trusted_since(time_point moment) const {
@@ -1197,6 +1268,10 @@
         (!need.max_point_age || read_points_.find_oldest(asked_at - *need.max_point_age, trust_.until()));
     if (!suffices) {
         zone_pause_until_ = now() + zone_pause;
+        if (need.trust && !unconfirmed_.empty()) {
+            // No waiting statement asks again for a commit that waits for its confirmation.
+            request_evidence_from_instances();
+        }
     }
     place_waiting_tasks();
 }
@@ -1423,20 +1498,26 @@
     idle_endings_left_ = queue_.size();
     counters_.waiting.add(static_cast<double>(queue_.size()) - counted_waiting_);
     counted_waiting_ = static_cast<double>(queue_.size());
-    probe_primary(current);
+    if (is_watching()) {
+        probe_primary(current);
+    }
     proxy_instance* leader = primary();
-    outage_estimator_.update(leader != nullptr && leader->is_usable(), current);
+    if (is_watching()) {
+        outage_estimator_.update(leader != nullptr && leader->is_usable(), current);
+    }
     if (leader != nullptr) {
         const std::optional<time_point> commit = leader->commit_waiting_since();
         if (commit) {
             failure_detector_.on_commit_waiting(*commit, current);
         }
     }
-    renew_evidence(current);
-    renew_trust_in_use(current);
     check_unconfirmed_commits(current);
-    poll_for_settlement(current);
-    check_recovery(current);
+    if (is_watching()) {
+        renew_evidence(current);
+        renew_trust_in_use(current);
+        poll_for_settlement(current);
+        check_recovery(current);
+    }
     answer_zone_requests();
     tick_tasks(current);
     refuse_unservable_tasks(current);
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -33,6 +33,16 @@
 
 namespace gentianhill {
 
+/// Part of a daemon in running the statements of a group.
+enum class group_role : std::uint8_t {
+    /// Each daemon runs the statements of its own clients.
+    shared,
+    /// This daemon runs those of all clients of the zone, and keeps connections for them.
+    owner,
+    /// Another daemon does. This one opens connections only for statements that reach no owner.
+    guest,
+};
+
 /// Limits, timeouts and placement costs of one database group.
 struct database_group_settings {
     /// Availability zone of this proxy. Instances in it are preferred, since traffic between zones is
@@ -51,6 +61,11 @@
     double lagging_ms = 15.0;
     primary_failure_detector_settings failure_detector;
     instance_pool_settings pool;
+    /// Idle time after which an owner closes a connection. An instance counts the connections of a process
+    /// that has ended for seconds, so idle ones take places that the processes which replace it need.
+    duration owner_idle_timeout = std::chrono::seconds(4);
+    /// Time after the last statement for which a guest goes on watching the instances of the group.
+    duration guest_interest = std::chrono::seconds(2);
 };
 
 /// Metrics shared by all groups.
@@ -59,6 +74,7 @@
 
     counter& statements;
     counter& refused;
+    counter& callers_refused;
     counter& refused_on_arrival;
     counter& refused_in_queue;
     counter& idle_transactions_ended;
@@ -116,6 +132,12 @@
     /// the current share.
     void set_limits(const group_limits& limits, std::size_t proxies);
 
+    /// Sets the part of this daemon; as owner or guest it has at most that many connections to an instance.
+    void set_role(group_role role, std::size_t connections);
+    [[nodiscard]] group_role role() const { return role_; }
+    /// True if this daemon keeps itself informed of the instances.
+    [[nodiscard]] bool is_watching() const;
+
     /// Starts an era of the metadata store. A member may have joined in the time that the restore has removed
     /// and have ended unseen, so the group is settled only by evidence requested at or after `evidence_from`.
     void begin_era(std::uint64_t era, time_point evidence_from);
@@ -207,6 +229,9 @@
     [[nodiscard]] bool is_serving() const;
     /// Records that a statement was refused because no instance or fresh read point was available.
     void on_unservable_statement();
+    /// True while this daemon has watched the instances for a short time only and lacks a read point. Places
+    /// at instances that are full of the connections of ended processes become free in that time.
+    [[nodiscard]] bool is_warming_up() const;
     /// Time by which a new primary is expected to serve; nothing while one serves.
     [[nodiscard]] std::optional<time_point> primary_expected_at() const;
     /// Consumes one second read from the budget; false when it is exhausted.
@@ -239,7 +264,8 @@
     [[nodiscard]] placement place_at_primary(const placement_query& query);
     [[nodiscard]] placement place_read(const placement_query& query);
     [[nodiscard]] proxy_instance* choose(const placement_query& query, const log_position& min_position);
-    [[nodiscard]] double cost(const proxy_instance& instance, const log_position& min_position) const;
+    [[nodiscard]] double cost(const proxy_instance& instance, const log_position& min_position,
+                              std::string_view team) const;
     [[nodiscard]] placement take_connection(proxy_instance& instance, const placement_query& query,
                                             std::optional<log_position> min_position);
     void on_answered(proxy_instance& instance, command_kind kind, time_point sent_at,
@@ -247,7 +273,8 @@
     void on_failure(proxy_instance& instance, disconnect_reason reason);
     /// Called when an instance is found to send answers twice.
     void on_repeated_answers(const proxy_instance& instance);
-    void poll_status(proxy_instance& instance);
+    /// Returns false if the call has to wait for a connection.
+    bool poll_status(proxy_instance& instance);
     void on_status(proxy_instance& instance, const instance_status& status, time_point sent_at);
     void set_primary(const std::string& id, term_number term);
     /// Settles the group by the answer of a replica to a status call sent at `sent_at`, if it suffices.
@@ -318,6 +345,9 @@
     /// A read must see every commit that was acknowledged before this time.
     [[nodiscard]] time_point oldest_allowed_time(const placement_query& query) const;
     void probe_primary(time_point current);
+    void begin_watching();
+    /// Records that a statement is to be placed; a guest then begins to watch the instances.
+    void note_statement();
     void tick_tasks(time_point current);
     [[nodiscard]] proxy_instance* primary();
 
@@ -408,6 +438,11 @@
     std::optional<time_point> unservable_since_;
     time_point last_poll_;
     bool is_prober_ = true;
+    group_role role_ = group_role::shared;
+    /// Time since which this daemon has watched the instances without interruption.
+    time_point watching_since_;
+    /// Time at which a statement was last to be placed.
+    time_point last_statement_;
     double second_read_budget_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -1,5 +1,7 @@
 #include "gentianhill/proxy/proxy.h"
 
+#include "gentianhill/proxy/caller_refusal.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -37,6 +39,14 @@
 constexpr duration member_list_pause = 100ms;
 /// Age of a source's state beyond the duration of one long poll at which the source counts as stale.
 constexpr duration state_age_margin = 1500ms;
+/// Long polls of the configuration last this share of the time for which a key may be used after it was taken
+/// away.
+constexpr double key_poll_share = 0.12;
+/// Clients are to turn to another daemon when the configuration is older than this share of that time.
+constexpr double key_readiness_share = 0.6;
+/// Time after the last statement that was handed on to this daemon for which it keeps the connections of an
+/// owner. The daemons of a zone take over a new owner within about the same time of each other.
+constexpr duration hosted_group_limit = 1500ms;
 
 /// Wraps a handler so that it does nothing once the proxy has been destroyed.
 template <typename... argument_types>
@@ -64,6 +74,18 @@
                  });
         };
     }
+    if (ports.relay.hand_on) {
+        ports.relay.hand_on = [alive, call = ports.relay.hand_on](const endpoint& server, std::string message,
+                                                                  duration timeout, hand_on_handler done) {
+            call(server, std::move(message), timeout,
+                 [alive, done = std::move(done)](const std::optional<std::string>& answer,
+                                                 const error& reason) {
+                     if (!alive.expired()) {
+                         done(answer, reason);
+                     }
+                 });
+        };
+    }
     ports.call_after = [alive, call = ports.call_after](duration delay, std::function<void()> action) {
         call(delay, guarded(alive, std::move(action)));
     };
@@ -119,9 +141,24 @@
     return result;
 }
 
+/// Duration of a long poll for what the keys of callers depend on. Each of the two hops, from the store and
+/// from another daemon, may add twice this to the age of the configuration.
+duration key_poll_wait(const proxy_settings& settings, duration usual) {
+    const double share = static_cast<double>(settings.key_lease.count()) * key_poll_share;
+    return settings.key_lease > duration(0) ? std::min(usual, duration(static_cast<std::int64_t>(share)))
+                                            : usual;
+}
+
+collection_watch_settings configuration_watch(const proxy_settings& settings) {
+    collection_watch_settings result = settings.watch;
+    result.wait = key_poll_wait(settings, settings.watch.wait);
+    return result;
+}
+
 state_relay_settings relay_settings(const proxy_settings& settings) {
     state_relay_settings result = settings.relay;
-    result.selection.max_age = settings.watch.wait + state_age_margin;
+    result.poll_wait = key_poll_wait(settings, settings.relay.poll_wait);
+    result.selection.max_age = key_poll_wait(settings, settings.watch.wait) + state_age_margin;
     result.watch_min_pause = settings.watch.min_pause;
     result.watch_max_pause = settings.watch.max_pause;
     return result;
@@ -135,7 +172,8 @@
       ports_(guard_ports(std::move(ports), alive_, store_calls_)),
       log_(log),
       counters_(registry),
-      configuration_watch_(store_collection::configuration, ports_.store, log, settings.watch),
+      key_lease_(settings.key_lease),
+      configuration_watch_(store_collection::configuration, ports_.store, log, configuration_watch(settings)),
       instance_watch_(store_collection::instances, ports_.store, log, instance_watch(settings.watch)),
       duty_watch_(store_collection::duties, ports_.store, log, slow_watch(settings.watch)),
       daemon_watch_(store_collection::proxies, ports_.store, log, daemon_watch(settings.watch)),
@@ -145,7 +183,12 @@
              {&configuration_watch_, &instance_watch_, &duty_watch_, &daemon_watch_}, ports_.relay, log,
              registry),
       evidence_(settings.evidence, directory_, ports_.relay, log, registry),
+      quota_(settings.quota, directory_, ports_.relay, ports_.store, log, registry, settings.incarnation,
+             ports_.now()),
       lease_(ports_.store, log, settings.lease, settings.name, settings.incarnation),
+      owners_(settings.owners, directory_, log, registry),
+      forwarder_(settings.forwarder, owners_, ports_.relay, log, registry, settings.incarnation),
+      host_(settings.host, environment_, log, counters_, registry, settings_.name),
       stop_({settings.grace, balancer_delay}) {
     lease_.now = ports_.now;
     lease_.find_base_term = [this](const std::string& group_name) {
@@ -159,7 +202,14 @@
     relay_.configuration_version = [this] { return routes_.current() ? routes_.current()->version : 0; };
     relay_.configuration = [this] { return configuration_in_effect_ ? &*configuration_in_effect_ : nullptr; };
     relay_.on_configuration = [this](const stored_object& object) { on_configuration_object(object); };
+    relay_.configuration_confirmed_at = [this] { return key_lease_.confirmed_at(); };
+    relay_.on_configuration_confirmed = [this](time_point moment) { key_lease_.confirm(moment); };
+    configuration_watch_.on_complete = [this](time_point asked_at) { key_lease_.confirm(asked_at); };
     evidence_.now = ports_.now;
+    quota_.now = ports_.now;
+    quota_.call_after = ports_.call_after;
+    quota_.find_limit = [this](const std::string& team_name) { return find_limit(team_name); };
+    quota_.has_limits = [this] { return has_limits(); };
     settings_.group.zone = settings.zone;
     for (collection_watch* watch : {&configuration_watch_, &instance_watch_, &duty_watch_, &daemon_watch_}) {
         watch->call_after = ports_.call_after;
@@ -211,6 +261,11 @@
                                              const member_record::members_handler& done) {
         member_records_.at(group_name)->read(done);
     };
+    environment_.check_caller = [this](const route& used, const std::optional<key_digest>& key,
+                                       time_point received_at) {
+        return check_caller(used, key, received_at);
+    };
+    environment_.quota = quota_.make_port();
     environment_.find_route = [this](const std::string& database) { return routes_.find(database); };
     environment_.find_group = [this](const std::string& name) -> database_group* {
         const auto found = groups_.find(name);
@@ -224,6 +279,19 @@
     };
     environment_.accepts_statements = [this] { return stop_.accepts_statements(); };
     environment_.now = ports_.now;
+    environment_.configuration_version = [this] {
+        return routes_.current() ? routes_.current()->version : 0;
+    };
+    environment_.forwarder = &forwarder_;
+    environment_.hands_on = [this](const std::string& name) {
+        const auto found = groups_.find(name);
+        return found != groups_.end() && found->second->role() == group_role::guest;
+    };
+    owners_.now = ports_.now;
+    owners_.on_change = [this] { apply_group_limits(); };
+    forwarder_.now = ports_.now;
+    host_.on_statement = [this](const std::string& name) { on_hosted_statement(name); };
+    host_.on_heard = [this](const std::string& name) { directory_.on_heard(name); };
 }
 
 proxy::~proxy() {
@@ -243,6 +311,11 @@
     }
     directory_.tick(relay_.is_store_reachable());
     relay_.tick();
+    owners_.tick(daemon_watch_.replica().has_state());
+    expire_hosted_groups(now);
+    forwarder_.tick();
+    host_.tick();
+    quota_.tick();
     store_calls_.tick(now);
     lease_.tick();
     observe_era();
@@ -260,6 +333,10 @@
     bool may_start = !promotion_running && !stop_.is_requested();
     for (const std::map<std::string, std::unique_ptr<failover_driver>, std::less<>>::value_type& entry :
          drivers_) {
+        // Without news of the instances nothing is known about the primary.
+        if (!entry.second->is_running() && !groups_.at(entry.first)->is_watching()) {
+            continue;
+        }
         entry.second->tick(may_start);
         may_start = may_start && !entry.second->is_running();
     }
@@ -403,11 +480,40 @@
 
 void proxy::on_relay_request(relay_request_kind kind, const nlohmann::json& message,
                              relay_answer_handler respond) {
-    if (kind == relay_request_kind::state) {
+    switch (kind) {
+    case relay_request_kind::state:
         relay_.on_request(message, std::move(respond));
-        return;
+        break;
+    case relay_request_kind::evidence:
+        on_evidence_request(message, respond);
+        break;
+    case relay_request_kind::quota_tokens:
+    case relay_request_kind::quota_shares:
+    case relay_request_kind::quota_holdings:
+        quota_.on_request(kind, message, respond);
+        break;
+    }
+}
+
+std::optional<team_rate> proxy::find_limit(const std::string& team_name) const {
+    if (!routes_.current() || routes_.current()->teams == nullptr) {
+        return std::nullopt;
     }
-    on_evidence_request(message, respond);
+    const auto found = routes_.current()->teams->teams().find(team_name);
+    return found == routes_.current()->teams->teams().end() ? std::nullopt : found->second->rate;
+}
+
+bool proxy::has_limits() const {
+    if (!routes_.current() || routes_.current()->teams == nullptr) {
+        return false;
+    }
+    const std::map<std::string, std::shared_ptr<const team>, std::less<>>& teams =
+        routes_.current()->teams->teams();
+    return std::any_of(
+        teams.begin(), teams.end(),
+        [](const std::map<std::string, std::shared_ptr<const team>, std::less<>>::value_type& entry) {
+            return entry.second->rate.has_value();
+        });
 }
 
 void proxy::on_evidence_request(const nlohmann::json& message, const relay_answer_handler& respond) {
@@ -468,9 +574,17 @@
     }
     const std::uint64_t version = configuration->version;
     const std::size_t routes = configuration->routes.size();
+    if (configuration->teams == nullptr && routes_.current() && routes_.current()->teams != nullptr) {
+        // A configuration without teams must not open all routes to everybody.
+        configuration->teams = std::make_shared<team_directory>();
+    }
+    const std::size_t teams = configuration->teams != nullptr ? configuration->teams->teams().size() : 0;
     const bool applied = routes_.apply(std::move(*configuration));
     log_.write(log_level::info, "proxy", applied ? "configuration_applied" : "configuration_ignored",
-               {{"version", version}, {"in_effect", routes_.current()->version}, {"routes", routes}});
+               {{"version", version},
+                {"in_effect", routes_.current()->version},
+                {"routes", routes},
+                {"teams", teams}});
     if (applied) {
         configuration_in_effect_ = object;
         apply_group_limits();
@@ -487,11 +601,50 @@
     for (const auto& [name, limits] : routes_.current()->groups) {
         const auto found = groups_.find(name);
         if (found != groups_.end()) {
-            found->second->set_limits(limits, daemon_count());
+            apply_role(*found->second, limits);
         }
     }
 }
 
+void proxy::apply_role(database_group& members, const group_limits& limits) {
+    members.set_limits(limits, daemon_count());
+    const bool may_hand_on = ports_.relay.hand_on && settings_.peer_address;
+    const bool is_unknown = may_hand_on && !owners_.is_settled();
+    if (!is_unknown && (!may_hand_on || !owners_.is_needed(limits.max_connections))) {
+        members.set_role(group_role::shared, 0);
+        return;
+    }
+    const bool hosts = hosted_at_.find(members.name()) != hosted_at_.end();
+    if (hosts || (!is_unknown && owners_.is_owner(members.name()))) {
+        members.set_role(group_role::owner, owners_.owner_connections(limits.max_connections));
+    } else {
+        members.set_role(group_role::guest, owners_.settings().reserve_connections);
+    }
+}
+
+void proxy::on_hosted_statement(const std::string& group_name) {
+    const bool is_first = hosted_at_.find(group_name) == hosted_at_.end();
+    hosted_at_[group_name] = ports_.now();
+    if (is_first) {
+        log_.write(log_level::info, "ownership", "group_taken_over", {{"group", group_name}});
+        apply_group_limits();
+    }
+}
+
+void proxy::expire_hosted_groups(time_point now) {
+    const std::size_t expired = std::erase_if(
+        hosted_at_, [now](const std::map<std::string, time_point, std::less<>>::value_type& entry) {
+            return now - entry.second > hosted_group_limit;
+        });
+    if (expired > 0) {
+        apply_group_limits();
+    }
+}
+
+bool proxy::has_any_open_work() const {
+    return (has_open_work && has_open_work()) || host_.has_open_work();
+}
+
 std::size_t proxy::daemon_count() const {
     // Before the first listing and while daemons start, the setting reserves connections for the other
     // daemons.
@@ -550,15 +703,55 @@
                    });
 }
 
-std::unique_ptr<client_session> proxy::open_session(const std::string& database) {
-    if (routes_.find(database) == nullptr) {
+caller_check proxy::check_caller(const route& used, const std::optional<key_digest>& key,
+                                 time_point received_at) const {
+    const std::shared_ptr<const team_directory>& teams = routes_.current()->teams;
+    if (teams == nullptr) {
+        return {caller_verdict::allowed, nullptr};
+    }
+    const std::shared_ptr<const team> caller = key ? teams->find(*key) : nullptr;
+    if (used.is_public) {
+        return {caller_verdict::allowed, caller};
+    }
+    const bool is_current = key_lease_.covers(received_at);
+    if (caller != nullptr) {
+        return {is_current ? caller_verdict::allowed : caller_verdict::unknown, caller};
+    }
+    // The key may have been added to a configuration that has not arrived.
+    const bool may_be_added = !is_current || !relay_.is_store_reachable();
+    return {may_be_added ? caller_verdict::unknown : caller_verdict::denied, nullptr};
+}
+
+bool proxy::can_check_keys() const {
+    if (!key_lease_.is_limited() || routes_.current()->teams == nullptr) {
+        return true;
+    }
+    const std::optional<time_point>& confirmed = key_lease_.confirmed_at();
+    const double limit = static_cast<double>(settings_.key_lease.count()) * key_readiness_share;
+    return confirmed && ports_.now() - *confirmed <= duration(static_cast<std::int64_t>(limit));
+}
+
+std::unique_ptr<client_session> proxy::open_session(const std::string& database, std::string_view key,
+                                                    statement_outcome& refusal) {
+    const std::shared_ptr<const route> used = routes_.find(database);
+    if (used == nullptr) {
+        refusal = statement_outcome::unknown_database;
         return nullptr;
     }
-    return std::make_unique<client_session>(database, environment_, log_, counters_);
+    const std::optional<key_digest> digest = key.empty() ? std::nullopt : std::optional<key_digest>(key);
+    const caller_verdict verdict = check_caller(*used, digest, ports_.now()).verdict;
+    if (verdict != caller_verdict::allowed) {
+        refusal = caller_refusal(verdict, false);
+        log_.write(log_level::info, "teams", "session_refused",
+                   {{"database", database}, {"verdict", to_string(verdict)}, {"has_key", !key.empty()}});
+        counters_.callers_refused.add();
+        return nullptr;
+    }
+    return std::make_unique<client_session>(database, digest, environment_, log_, counters_);
 }
 
 bool proxy::is_ready() const {
-    if (stop_.is_requested() || !routes_.current()) {
+    if (stop_.is_requested() || !routes_.current() || !can_check_keys()) {
         return false;
     }
     return std::any_of(
@@ -590,6 +783,8 @@
     stop_.request(ports_.now());
     directory_.remove_own_entry();
     relay_.stop();
+    host_.refuse_new();
+    quota_.stop();
     log_.write(log_level::info, "proxy", "stop_requested", {{"grace_ms", to_milliseconds(settings_.grace)}});
 }
 
@@ -598,7 +793,7 @@
     if (before == stop_phase::stopped) {
         return;
     }
-    const stop_phase phase = stop_.advance(now, has_open_work && has_open_work());
+    const stop_phase phase = stop_.advance(now, has_any_open_work());
     if (phase != before) {
         log_.write(log_level::info, "proxy", "stop_phase",
                    {{"phase", to_string(phase)}, {"ms", to_milliseconds(stop_.elapsed(now))}});
@@ -609,11 +804,17 @@
             entry.second->refuse_new_attempts();
         }
     }
-    if (phase == stop_phase::ending && before != phase && on_give_up_statements) {
-        on_give_up_statements();
+    if (phase == stop_phase::ending && before != phase) {
+        host_.give_up("the daemon is stopping");
+        if (on_give_up_statements) {
+            on_give_up_statements();
+        }
     }
-    if (phase >= stop_phase::refusing && on_end_transactions) {
-        on_end_transactions();
+    if (phase >= stop_phase::refusing) {
+        host_.end_transactions();
+        if (on_end_transactions) {
+            on_end_transactions();
+        }
     }
     if (phase >= stop_phase::closing_sessions && on_close_idle_sessions) {
         on_close_idle_sessions();
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -7,17 +7,22 @@
 #include "gentianhill/metadata/collection_watch.h"
 #include "gentianhill/metadata/metadata_store.h"
 #include "gentianhill/metadata/store_call_counter.h"
+#include "gentianhill/ownership/owner_selection.h"
+#include "gentianhill/ownership/statement_forwarder.h"
 #include "gentianhill/proxy/client_session.h"
 #include "gentianhill/proxy/database_group.h"
 #include "gentianhill/proxy/failover_driver.h"
 #include "gentianhill/proxy/member_record.h"
+#include "gentianhill/proxy/statement_host.h"
 #include "gentianhill/proxy/term_record.h"
+#include "gentianhill/quota/team_quota.h"
 #include "gentianhill/relay/daemon_directory.h"
 #include "gentianhill/relay/relay_port.h"
 #include "gentianhill/relay/state_relay.h"
 #include "gentianhill/relay/zone_evidence.h"
 #include "gentianhill/routing/instance_catalog.h"
 #include "gentianhill/routing/route_table.h"
+#include "gentianhill/teams/key_lease.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,6 +31,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace gentianhill {
@@ -40,6 +46,9 @@
     std::string incarnation;
     /// Minimum number of daemons among which the connections of an instance are divided.
     std::size_t assumed_daemons = 4;
+    /// Time for which a key may be used after it was taken away; zero when only the configuration in effect
+    /// counts.
+    duration key_lease{0};
     /// Time allowed for a graceful shutdown.
     duration grace = std::chrono::seconds(6);
     database_group_settings group;
@@ -51,6 +60,10 @@
     daemon_directory_settings directory;
     state_relay_settings relay;
     zone_evidence_settings evidence;
+    owner_selection_settings owners;
+    statement_forwarder_settings forwarder;
+    statement_host_settings host;
+    quota_settings quota;
 };
 
 /// External operations used by a proxy.
@@ -99,11 +112,20 @@
     /// Answers a request of another daemon.
     void on_relay_request(relay_request_kind kind, const nlohmann::json& message,
                           relay_answer_handler respond);
-    /// Opens a session; null when the database has no route. Requires has_configuration().
-    [[nodiscard]] std::unique_ptr<client_session> open_session(const std::string& database);
+    /// Answers a message about a statement that another daemon hands on.
+    void on_hand_on(std::string_view message, const hand_on_handler& respond) {
+        host_.on_message(message, respond);
+    }
+    /// True while a statement or transaction of another daemon is open here.
+    [[nodiscard]] bool has_hosted_statements() const { return host_.has_open_work(); }
+    /// Opens a session for a client that has stated a key, which may be empty; null when that is refused, and
+    /// `refusal` says why. Requires has_configuration().
+    [[nodiscard]] std::unique_ptr<client_session>
+    open_session(const std::string& database, std::string_view key, statement_outcome& refusal);
     /// True once a configuration is in effect.
     [[nodiscard]] bool has_configuration() const { return routes_.current().has_value(); }
-    /// Called after a configuration has taken effect, for sessions that wait for the first one.
+    /// Called after a configuration has taken effect, for sessions that wait for the first one and those
+    /// whose key it has taken away.
     std::function<void()> on_configuration_applied;
     /// True when the daemon accepts new clients.
     [[nodiscard]] bool is_ready() const;
@@ -129,7 +151,23 @@
     void on_configuration_object(const stored_object& object);
     void on_instance_changed(const listed_instance& listed);
     void on_evidence_request(const nlohmann::json& message, const relay_answer_handler& respond);
+    /// Checks whether a caller may use a route.
+    [[nodiscard]] caller_check check_caller(const route& used, const std::optional<key_digest>& key,
+                                            time_point received_at) const;
+    /// True while the keys of callers can be checked for long enough that clients need not turn to another
+    /// daemon.
+    [[nodiscard]] bool can_check_keys() const;
+    /// Limit of a team by the configuration in effect; nothing when it has none.
+    [[nodiscard]] std::optional<team_rate> find_limit(const std::string& team_name) const;
+    [[nodiscard]] bool has_limits() const;
     void apply_group_limits();
+    /// Sets the part that this daemon has in running the statements of a group.
+    void apply_role(database_group& members, const group_limits& limits);
+    /// Records that this daemon runs a statement of a group for another one.
+    void on_hosted_statement(const std::string& group_name);
+    /// Gives up the part of an owner in groups whose statements are no longer handed on to this daemon.
+    void expire_hosted_groups(time_point now);
+    [[nodiscard]] bool has_any_open_work() const;
     /// Applies the ranks of this daemon among all, which decide who probes, promotes and records first.
     void apply_ranks();
     /// Time at which this daemon records a change of a group's members that it sees now.
@@ -162,6 +200,7 @@
     logger& log_;
     proxy_counters counters_;
     route_table routes_;
+    key_lease key_lease_;
     /// Object of the configuration in effect, for daemons that lack it.
     std::optional<stored_object> configuration_in_effect_;
     instance_catalog catalog_;
@@ -172,6 +211,7 @@
     daemon_directory directory_;
     state_relay relay_;
     zone_evidence evidence_;
+    team_quota quota_;
     duty_lease lease_;
     failover_port failover_port_;
     std::map<std::string, std::unique_ptr<database_group>, std::less<>> groups_;
@@ -182,6 +222,11 @@
     /// Era of the store for which the records are scheduled.
     std::uint64_t recorded_era_ = 0;
     session_environment environment_;
+    owner_selection owners_;
+    statement_forwarder forwarder_;
+    statement_host host_;
+    /// Time of the last statement that another daemon has handed on, by group.
+    std::map<std::string, time_point, std::less<>> hosted_at_;
     graceful_stop stop_;
     std::optional<time_point> unready_since_;
     bool listing_members_ = false;
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -1,5 +1,6 @@
 #include "gentianhill/proxy/statement_task.h"
 
+#include "gentianhill/proxy/caller_refusal.h"
 #include "gentianhill/proxy/database_group.h"
 #include "gentianhill/proxy/proxy_instance.h"
 
@@ -68,6 +69,7 @@
     query.session_position = request_.session_position;
     query.fresh_after = request_.fresh_after;
     query.session = request_.session;
+    query.team = request_.team;
     query.excluded_instances = &excluded_instances_;
     return query;
 }
@@ -148,6 +150,9 @@
         send_statement(current);
         return;
     }
+    if (refuse_caller(current)) {
+        return;
+    }
     instance_command command;
     command.kind =
         request_.access == access_kind::transaction ? command_kind::begin : command_kind::begin_read;
@@ -172,7 +177,10 @@
         command.changes_data = request_.writes;
     }
     if (!request_.fits(command)) {
-        refuse_too_large(current);
+        refuse_attempt(current, statement_outcome::too_large, too_large_detail);
+        return;
+    }
+    if (refuse_caller(current)) {
         return;
     }
     current->statement_sent = true;
@@ -180,14 +188,24 @@
                               [this, current](instance_answer& answer) { on_result(current, answer); });
 }
 
-void statement_task::refuse_too_large(const attempt_pointer& current) {
+void statement_task::refuse_attempt(const attempt_pointer& current, statement_outcome outcome,
+                                    std::string_view detail) {
     const std::shared_ptr<statement_task> keep = self_;
     return_connection(current);
     if (!finished_ && attempts_.empty()) {
-        refuse(statement_outcome::too_large, too_large_detail);
+        refuse(outcome, detail);
     }
 }
 
+bool statement_task::refuse_caller(const attempt_pointer& current) {
+    const caller_verdict verdict = request_.check_caller ? request_.check_caller() : caller_verdict::allowed;
+    if (verdict == caller_verdict::allowed) {
+        return false;
+    }
+    refuse_attempt(current, caller_refusal(verdict, is_transaction()), caller_detail(verdict));
+    return true;
+}
+
 void statement_task::on_result(const attempt_pointer& current, instance_answer& answer) {
     const std::shared_ptr<statement_task> keep = self_;
     if (finished_) {
@@ -379,7 +397,7 @@
 
 void statement_task::refuse_if_waited_too_long(time_point now) {
     const duration waited = now - waiting_since_;
-    const bool unservable = wait_reason_ != placement_wait::no_connection;
+    const bool unservable = wait_reason_ != placement_wait::no_connection && !group_.is_warming_up();
     duration limit = share_of(request_.selected_route->timeout, queue_share);
     if (unservable) {
         limit = share_of(request_.selected_route->target_latency, unservable_wait_share);
--- a/gentianhill/relay/state_relay.cpp
+++ b/gentianhill/relay/state_relay.cpp
@@ -64,14 +64,25 @@
         watches_[index]->set_active(false);
         watches_[index]->start();
     }
+    // The entries of a deployment whose processes have been restarted are complete from the start; those of
+    // one that starts for the first time lack this daemon's own.
+    watches_.back()->accepts_old_list = [this](const std::vector<stored_object>& objects) {
+        return std::any_of(objects.begin(), objects.end(),
+                           [this](const stored_object& object) { return object.name == directory_.name(); });
+    };
+    watches_.back()->set_active(false);
+    watches_.back()->start();
 }
 
 bool state_relay::knows_place() const {
-    return watches_.back()->replica().has_state() || now() - started_at_ >= settings_.decision_limit;
+    const time_point current = now();
+    return (watches_.back()->replica().has_state() && current >= list_daemons_at_) ||
+           current - started_at_ >= settings_.decision_limit;
 }
 
 void state_relay::list_only() {
     if (!watches_.back()->is_started() && now() >= list_daemons_at_) {
+        watches_.back()->accepts_old_list = nullptr;
         watches_.back()->set_active(false);
         watches_.back()->start();
     }
@@ -278,6 +289,9 @@
     if (answer.store_reachable) {
         note_heard(asked_at - answer.age);
     }
+    if (answer.configuration_age && on_configuration_confirmed) {
+        on_configuration_confirmed(asked_at - *answer.configuration_age);
+    }
     if (answer.configuration && on_configuration) {
         log_.write(log_level::info, "relay", "configuration_received", {{"daemon", answer.daemon}});
         on_configuration(*answer.configuration);
@@ -467,6 +481,7 @@
         }
         answer.updates.emplace(watch->collection(), std::move(update));
     }
+    answer.configuration_age = configuration_age_for(request, answer);
     const stored_object* in_effect = configuration ? configuration() : nullptr;
     if (in_effect != nullptr && request.configuration_version &&
         *request.configuration_version < configuration_version() &&
@@ -476,6 +491,24 @@
     return answer;
 }
 
+std::optional<duration> state_relay::configuration_age_for(const state_request& request,
+                                                           const state_answer& answer) const {
+    const collection_watch& first = *watches_.front();
+    const std::optional<time_point> confirmed =
+        configuration_confirmed_at ? configuration_confirmed_at() : std::nullopt;
+    if (!confirmed || !first.replica().has_state()) {
+        return std::nullopt;
+    }
+    const auto known = request.versions.find(first.collection());
+    const bool has_all = known != request.versions.end() &&
+                         known->second.era == first.replica().version().era &&
+                         !first.replica().has_changes_since(known->second);
+    if (!has_all && answer.updates.count(first.collection()) == 0) {
+        return std::nullopt;
+    }
+    return std::max(now() - *confirmed, duration(0));
+}
+
 void state_relay::on_request(const nlohmann::json& message, relay_answer_handler respond) {
     error reason;
     const std::optional<state_request> request = state_request::from_json(message, reason);
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -125,8 +125,9 @@
 /// Connection of a proxy to an instance of the service model, with network delay and partitions.
 class simulated_link : public instance_link {
 public:
-    simulated_link(simulated_deployment& deployment, std::size_t proxy, std::string id)
-        : deployment_(deployment), proxy_(proxy), id_(std::move(id)) {
+    simulated_link(simulated_deployment& deployment, std::size_t proxy, std::string team, std::string id)
+        : deployment_(deployment), proxy_(proxy), team_(std::move(team)), id_(std::move(id)) {
+        ++deployment_.told_teams[team_];
         send = [this](const instance_command& command) {
             if (message_bytes(command) > message_limit) {
                 ++deployment_.oversized_commands;
@@ -189,9 +190,14 @@
             return;
         }
         deployment_.clock.call_after(
-            network_delay, no_host, [this, alive = std::weak_ptr<bool>(alive_), command, held = connection_] {
+            network_delay, no_host,
+            [this, deployment = &deployment_, team = team_, alive = std::weak_ptr<bool>(alive_), command,
+             held = connection_] {
                 // A command that was sent arrives even if the sender has been destroyed meanwhile.
-                deployment_.service.handle(held, command, [this, alive](const instance_answer& answer) {
+                if (!command.id.empty()) {
+                    deployment->run_for_team[command.id] = team;
+                }
+                deployment->service.handle(held, command, [this, alive](const instance_answer& answer) {
                     if (alive.expired() || deployment_.is_cut(proxy_, id_)) {
                         return;
                     }
@@ -223,6 +229,7 @@
 
     simulated_deployment& deployment_;
     std::size_t proxy_;
+    std::string team_;
     std::string id_;
     std::shared_ptr<standins::model_connection> connection_;
     /// Commands that were sent and not answered yet.
@@ -230,8 +237,8 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-simulated_deployment::simulated_deployment(std::size_t proxies, std::size_t zones)
-    : store(clock), service({}), zones_(zones) {
+simulated_deployment::simulated_deployment(std::size_t proxies, std::size_t zones, bool has_owners)
+    : store(clock), service({}), zones_(zones), has_owners_(has_owners) {
     service.call_after = [this](duration delay, std::function<void()> action) {
         clock.call_after(delay, no_host, std::move(action));
     };
@@ -272,8 +279,18 @@
 }
 
 void simulated_deployment::configure(std::uint64_t version, bool with_bounded, duration timeout) {
-    store.write(store_collection::configuration, "main",
-                {{"version", version}, {"bounded", with_bounded}, {"timeout_ms", to_milliseconds(timeout)}});
+    nlohmann::json needs_no_key = nlohmann::json::object();
+    for (const std::string& database : public_databases) {
+        needs_no_key[database] = true;
+    }
+    nlohmann::json content{{"version", version},
+                           {"bounded", with_bounded},
+                           {"timeout_ms", to_milliseconds(timeout)},
+                           {"public", std::move(needs_no_key)}};
+    if (teams) {
+        content["teams"] = *teams;
+    }
+    store.write(store_collection::configuration, "main", content);
 }
 
 void simulated_deployment::cut_from_proxies(std::size_t proxy, bool is_cut) {
@@ -284,11 +301,13 @@
     }
 }
 
-void simulated_deployment::ask_proxy(std::size_t from, const endpoint& server, relay_request_kind kind,
-                                     const nlohmann::json& message, duration timeout,
-                                     const relay_answer_handler& done) {
+template <typename answer_type>
+void simulated_deployment::exchange(
+    std::size_t from, const endpoint& server, duration timeout,
+    const std::function<void(const std::optional<answer_type>& answer, const error& reason)>& done,
+    const std::function<void(std::size_t to, const peer_responder<answer_type>& respond)>& deliver) {
     const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
-    const auto finish = [this, from, answered, done](duration delay, std::optional<nlohmann::json> answer,
+    const auto finish = [this, from, answered, done](duration delay, std::optional<answer_type> answer,
                                                      error reason) {
         clock.call_after(delay, host_name(from),
                          [answered, done, answer = std::move(answer), reason = std::move(reason)] {
@@ -300,7 +319,7 @@
     };
     finish(timeout, std::nullopt, error{error_code::timed_out, "server", server.to_string(), ""});
     const std::size_t to = server.port - first_peer_port;
-    clock.call_after(proxy_delay, host_name(to), [this, from, to, kind, message, finish] {
+    clock.call_after(proxy_delay, host_name(to), [this, from, to, deliver, finish] {
         if (cut_proxies_.count(from) > 0 || cut_proxies_.count(to) > 0) {
             return;
         }
@@ -308,21 +327,57 @@
             finish(proxy_delay, std::nullopt, error{error_code::connect_failed, "server", host_name(to), ""});
             return;
         }
-        hosts_[to].served->on_relay_request(
-            kind, message,
-            [this, kind, finish](const std::optional<nlohmann::json>& answer, const error& reason) {
-                ++relayed[kind];
-                finish(proxy_delay, answer, reason);
-            });
+        open_exchanges_.push_back(
+            {to, [finish] {
+                 finish(proxy_delay, std::nullopt, error{error_code::connection_lost, "server", "", ""});
+             }});
+        deliver(to, [finish](const std::optional<answer_type>& answer, const error& reason) {
+            finish(proxy_delay, answer, reason);
+        });
     });
 }
 
+void simulated_deployment::ask_proxy(std::size_t from, const endpoint& server, relay_request_kind kind,
+                                     const nlohmann::json& message, duration timeout,
+                                     const relay_answer_handler& done) {
+    exchange<nlohmann::json>(
+        from, server, timeout, done,
+        [this, kind, message](std::size_t to, const peer_responder<nlohmann::json>& respond) {
+            at(to).on_relay_request(
+                kind, message,
+                [this, kind, respond](const std::optional<nlohmann::json>& answer, const error& reason) {
+                    ++relayed[kind];
+                    respond(answer, reason);
+                });
+        });
+}
+
+void simulated_deployment::hand_on(std::size_t from, const endpoint& server, const std::string& message,
+                                   duration timeout, const hand_on_handler& done) {
+    exchange<std::string>(from, server, timeout, done,
+                          [this, from, message](std::size_t to, const peer_responder<std::string>& respond) {
+                              std::string received = message;
+                              if (on_hand_on_message && !on_hand_on_message(from, to, received)) {
+                                  return;
+                              }
+                              ++messages_handed_on[to];
+                              at(to).on_hand_on(received,
+                                                [this, to, respond](const std::optional<std::string>& answer,
+                                                                    const error& reason) {
+                                                    if (mute_proxies.count(to) == 0) {
+                                                        respond(answer, reason);
+                                                    }
+                                                });
+                          });
+}
+
 proxy_ports simulated_deployment::make_ports(std::size_t index) {
     const std::string own_name = host_name(index);
     proxy_ports ports;
-    ports.network.open = [this, index](const endpoint&, const std::string&, const std::string& id) {
+    ports.network.open = [this, index](const endpoint&, const std::string&, const std::string& team,
+                                       const std::string& id) {
         ++opened_connections;
-        return std::make_unique<simulated_link>(*this, index, id);
+        return std::make_unique<simulated_link>(*this, index, team, id);
     };
     ports.network.fits = [](const instance_command& command) {
         return message_bytes(command) <= message_limit;
@@ -346,6 +401,10 @@
                                     const relay_answer_handler& done) {
         ask_proxy(index, server, kind, message, timeout, done);
     };
+    ports.relay.hand_on = [this, index](const endpoint& server, const std::string& message, duration timeout,
+                                        const hand_on_handler& done) {
+        hand_on(index, server, message, timeout, done);
+    };
     ports.call_after = [this, own_name](duration delay, std::function<void()> action) {
         clock.call_after(delay, own_name, std::move(action));
     };
@@ -369,8 +428,21 @@
             added->target_latency = 200ms;
             added->priority = consistency == consistency_level::latest ? 1 : 2;
             added->max_staleness = consistency == consistency_level::latest ? duration(0) : duration(1500ms);
+            added->is_public = object.content.at("public").contains(database);
             configuration.routes.emplace(database, added);
         }
+        if (object.content.contains("teams")) {
+            std::shared_ptr<team_directory> directory = std::make_shared<team_directory>();
+            for (const auto& [name, keys] : object.content.at("teams").items()) {
+                std::shared_ptr<team> added = std::make_shared<team>();
+                added->name = name;
+                REQUIRE(directory->add(added));
+                for (const nlohmann::json& key : keys) {
+                    REQUIRE(directory->add_key(key_digest(key.get_ref<const std::string&>()), added));
+                }
+            }
+            configuration.teams = directory;
+        }
         configuration.groups[group_name] = {40, 1};
         configuration.transaction_idle_limit = 3000ms;
         return configuration;
@@ -406,14 +478,28 @@
     proxy_settings settings;
     settings.name = host_name(index);
     settings.zone = index % zones_ == 0 ? "a" : "b";
+    settings.key_lease = key_lease;
+    if (has_seed) {
+        settings.relay.seeds = {endpoint{"10.0.1.1", first_peer_port + 1}};
+    }
     settings.incarnation = std::to_string(++started.incarnation);
     settings.peer_address = endpoint{"10.0.1.1", static_cast<std::uint16_t>(first_peer_port + index)};
+    if (has_owners_) {
+        // More connections than any daemon has, so that statements are handed on.
+        settings.owners.min_direct_connections = 1000;
+    }
     started.served = std::make_unique<proxy>(settings, make_ports(index), *started.log, *started.registry);
     started.served->start();
 }
 
 void simulated_deployment::kill(std::size_t index) {
     hosts_[index].served.reset();
+    for (const open_exchange& open : open_exchanges_) {
+        if (open.to == index) {
+            open.fail();
+        }
+    }
+    std::erase_if(open_exchanges_, [index](const open_exchange& open) { return open.to == index; });
 }
 
 bool simulated_deployment::is_cut(std::size_t proxy, const std::string& instance) const {
@@ -428,10 +514,14 @@
     }
 }
 
-std::unique_ptr<simulated_client> simulated_deployment::connect(std::size_t proxy,
-                                                                const std::string& database) {
-    std::unique_ptr<client_session> session = at(proxy).open_session(database);
-    REQUIRE(session != nullptr);
+std::unique_ptr<simulated_client>
+simulated_deployment::connect(std::size_t proxy, const std::string& database, const std::string& key) {
+    statement_outcome refusal = statement_outcome::done;
+    std::unique_ptr<client_session> session = at(proxy).open_session(database, key, refusal);
+    if (session == nullptr) {
+        last_refusal = refusal;
+        return nullptr;
+    }
     std::unique_ptr<simulated_client> client = std::make_unique<simulated_client>(std::move(session), clock);
     client->on_done = [this](const std::string& id) { service.confirm(id); };
     return client;
