Teams in the queue of a group: fair shares by the team of the statement

Cause: statements carry their team since the identity of callers landed, but the queue did not get it, and as connections belong to a team no lane was ever taken for full, so each answer offered a connection to every waiting statement. Change: the team is part of the queued statement; a team without a free connection is offered one once (team_is_full).

--- a/gentianhill/admission/statement_queue.cpp
+++ b/gentianhill/admission/statement_queue.cpp
@@ -138,7 +138,7 @@
                 const line* first = nullptr;
                 for (std::size_t lane = 0; lane < statement_lanes; ++lane) {
                     const line& waiting = team.second.lines.at(expected).at(lane);
-                    if (!is_full.at(lane) && !waiting.empty() &&
+                    if (!is_full.at(lane) && !team.second.is_full.at(lane) && !waiting.empty() &&
                         (first == nullptr || *waiting.begin() < *first->begin())) {
                         first = &waiting;
                     }
@@ -179,6 +179,7 @@
 void statement_queue::offer(time_point now, const std::function<offer_result(entry_id id)>& offer_one) {
     update_outlooks(now);
     lane_flags is_full{};
+    lane_flags has_full_team{};
     std::vector<std::pair<entry_id, entry>> set_aside;
     for (std::optional<entry_id> id = next(is_full); id; id = next(is_full)) {
         const entry offered = entries_.at(*id);
@@ -198,12 +199,28 @@
                 static_cast<void>(remove(*id));
             }
             break;
+        case offer_result::team_is_full:
+            has_full_team.at(index_of(offered.statement.lane)) = true;
+            if (still_waits) {
+                levels_.at(offered.statement.priority)
+                    .teams.at(offered.statement.team)
+                    .is_full.at(index_of(offered.statement.lane)) = true;
+            }
+            break;
         case offer_result::lane_is_full:
             is_full.at(index_of(offered.statement.lane)) = true;
             break;
         }
     }
+    for (std::size_t lane = 0; lane < statement_lanes; ++lane) {
+        is_full.at(lane) = is_full.at(lane) || has_full_team.at(lane);
+    }
     record_spare(is_full, now);
+    for (std::pair<const std::int64_t, priority_level>& level : levels_) {
+        for (std::pair<const std::string, team_lines>& team : level.second.teams) {
+            team.second.is_full = {};
+        }
+    }
     for (const std::pair<entry_id, entry>& waiting : set_aside) {
         insert(waiting.first, waiting.second);
     }
--- a/gentianhill/admission/statement_queue.h
+++ b/gentianhill/admission/statement_queue.h
@@ -47,6 +47,8 @@
     left_queue,
     /// It waits for something else than a connection.
     waits,
+    /// No connection is free for the statements of its team in its lane.
+    team_is_full,
     /// No connection is free for its lane.
     lane_is_full,
 };
@@ -127,6 +129,8 @@
     struct team_lines {
         /// By outlook and lane.
         std::array<std::array<line, statement_lanes>, outlooks> lines;
+        /// By lane, true when no connection is free for the team, during an offer.
+        std::array<bool, statement_lanes> is_full{};
         /// Virtual start time of its next statement.
         double next_start = 0.0;
 
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -471,6 +471,7 @@
     const route& selected = *request.selected_route;
     queued_statement described;
     described.priority = selected.priority;
+    described.team = request.team;
     described.lane = lane_of(task.query());
     const duration service = expected_service(described.lane);
     const duration slow_service = slow_service_of(described.lane);
@@ -566,11 +567,14 @@
         queued_tasks_.erase(id);
         return offer_result::left_queue;
     }
-    // Others of the lane may use an instance that this one avoids, or the connections of another team.
-    const bool may_differ = !task->task_request().team.empty() || task->avoids_instances() ||
-                            (lane_of(task->query()) == statement_lane::any_instance && has_lagging());
-    return task->wait_reason() == placement_wait::no_connection && !may_differ ? offer_result::lane_is_full
-                                                                               : offer_result::waits;
+    // Others of the lane may use an instance that this one avoids.
+    const bool may_differ =
+        task->avoids_instances() || (lane_of(task->query()) == statement_lane::any_instance && has_lagging());
+    if (task->wait_reason() != placement_wait::no_connection || may_differ) {
+        return offer_result::waits;
+    }
+    // Connections belong to a team.
+    return task->task_request().team.empty() ? offer_result::lane_is_full : offer_result::team_is_full;
 }
 
 bool database_group::has_lagging() const {
--- a/tests/admission/statement_queue_tests.cpp
+++ b/tests/admission/statement_queue_tests.cpp
@@ -162,6 +162,23 @@
     CHECK(offers == 1);
 }
 
+// Guards against a team whose connections are in use keeping those of other teams free, and against a scan of
+// all its statements.
+TEST_CASE_FIXTURE(statement_queue_fixture, "offer_full_team_offers_once_and_goes_on_with_others") {
+    for (int count = 0; count < 50; ++count) {
+        push("hot");
+    }
+    push("small");
+    std::vector<std::string> offered;
+    for (int answer = 0; answer < 2; ++answer) {
+        queue.offer(now, [&](statement_queue::entry_id id) {
+            offered.push_back(labels.at(id));
+            return labels.at(id) == "hot" ? offer_result::team_is_full : offer_result::left_queue;
+        });
+    }
+    CHECK(offered == std::vector<std::string>{"hot", "small", "hot"});
+}
+
 // Guards against an endless queue, and against low worth that keeps high worth out.
 TEST_CASE_FIXTURE(statement_queue_fixture, "push_full_queue_displaces_lowest_priority") {
     queue = statement_queue({3});
--- a/tests/proxy/client_load.cpp
+++ b/tests/proxy/client_load.cpp
@@ -14,7 +14,7 @@
 void client_load::send(operation& begun) {
     std::vector<std::unique_ptr<simulated_client>>& idle = idle_[begun.proxy];
     if (idle.empty()) {
-        idle.push_back(deployment_.connect(begun.proxy, settings_.database));
+        idle.push_back(deployment_.connect(begun.proxy, settings_.database, settings_.key));
     }
     begun.client = std::move(idle.back());
     idle.pop_back();
--- a/tests/proxy/client_load.h
+++ b/tests/proxy/client_load.h
@@ -21,6 +21,8 @@
         /// Operations slower than this count as late.
         duration target = std::chrono::milliseconds(200);
         int retries = 2;
+        /// Key of the clients' team.
+        std::string key;
     };
 
     client_load(simulated_deployment& deployment, std::size_t proxies, settings parameters);
--- a/tests/proxy/overload_tests.cpp
+++ b/tests/proxy/overload_tests.cpp
@@ -18,8 +18,8 @@
 /// Three proxies and three instances with few slots; writers of high priority beside readers of a lower one.
 struct overload_fixture {
     simulated_deployment deployment{proxies};
-    client_load readers{deployment, proxies, {"bounded", "READ a", 0.7 * capacity}};
-    client_load writers{deployment, proxies, {"latest", "WRITE a 1", 30}};
+    client_load readers{deployment, proxies, {"bounded", "READ a", 0.7 * capacity, 200ms, 2, ""}};
+    client_load writers{deployment, proxies, {"latest", "WRITE a 1", 30, 200ms, 2, ""}};
 
     overload_fixture() {
         deployment.service.set_capacity(slots, work);
@@ -184,3 +184,31 @@
     deployment.run_for(300ms);
     CHECK(resting->outcome(commit) == statement_outcome::done);
 }
+
+// Load: one team at 7 times its usual rate. Guards against the other team waiting behind it, or losing its
+// connections for good.
+TEST_CASE("overload_by_one_team_at_seven_times_serves_the_other_in_time") {
+    simulated_deployment deployment{proxies};
+    deployment.teams = {{"hot", {"key-of-hot"}}, {"small", {"key-of-small"}}};
+    deployment.configure(2);
+    deployment.run_for(1s);
+    deployment.service.set_capacity(slots, work);
+    client_load hot{deployment, proxies, {"bounded", "READ a", 0.2 * capacity, 200ms, 2, "key-of-hot"}};
+    client_load small{deployment, proxies, {"bounded", "READ b", 0.2 * capacity, 200ms, 2, "key-of-small"}};
+    const auto run = [&](duration length) {
+        for (duration passed{0}; passed < length; passed += 5ms) {
+            hot.step();
+            small.step();
+            deployment.clock.run_for(5ms);
+        }
+    };
+    run(2s);
+    hot.set_rate(7 * 0.2 * capacity);
+    run(1s);
+    small.reset_counts();
+    hot.reset_counts();
+    run(3s);
+    CHECK(small.share_done() > 0.97);
+    CHECK(small.share_in_time() > 0.9);
+    CHECK(static_cast<double>(hot.done() + small.done()) > 0.8 * 3 * capacity);
+}
