--- a/gentianhill/relay/relay_transport.h
+++ b/gentianhill/relay/relay_transport.h
@@ -24,6 +24,9 @@
     std::size_t max_request_bytes = 64U << 10U;
     /// Largest message with a statement that is handed on, in bytes: a statement of 1 MiB with its session.
     std::size_t max_hand_on_bytes = 1280U << 10U;
+    /// Connections of other daemons open at once, and bytes of their requests and answers.
+    std::size_t max_connections = 512;
+    std::size_t max_held_bytes = 64U << 20U;
     /// Largest answer, in bytes. A whole collection of the aim's size has about 4 MB.
     std::size_t max_answer_bytes = 16U << 20U;
     /// Longest time to establish a connection.
