--- a/tests/ownership/hand_on_messages_tests.cpp
+++ b/tests/ownership/hand_on_messages_tests.cpp
@@ -18,7 +18,8 @@
         request.kind = hand_on_kind::run;
         request.daemon = "d-1";
         request.incarnation = "f00d";
-        request.client_statement = {statement_kind::execute, "id", "", "p", std::string("a\0\xff b", 5), false};
+        request.client_statement = {statement_kind::execute,     "id", "", "p",
+                                    std::string("a\0\xff b", 5), false};
         request.prepared = prepared_statement{"shape", true};
         request.values = session_state::value_map{{"zone", "a b"}};
         request.received_at = sent_at - 3ms;
