--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -183,6 +183,8 @@
              {&configuration_watch_, &instance_watch_, &duty_watch_, &daemon_watch_}, ports_.relay, log,
              registry),
       evidence_(settings.evidence, directory_, ports_.relay, log, registry),
+      quota_(settings.quota, directory_, ports_.relay, ports_.store, log, registry, settings.incarnation,
+             ports_.now()),
       lease_(ports_.store, log, settings.lease, settings.name, settings.incarnation),
       owners_(settings.owners, directory_, log, registry),
       forwarder_(settings.forwarder, owners_, ports_.relay, log, registry, settings.incarnation),
@@ -204,6 +206,10 @@
     relay_.on_configuration_confirmed = [this](time_point moment) { key_lease_.confirm(moment); };
     configuration_watch_.on_complete = [this](time_point asked_at) { key_lease_.confirm(asked_at); };
     evidence_.now = ports_.now;
+    quota_.now = ports_.now;
+    quota_.call_after = ports_.call_after;
+    quota_.find_limit = [this](const std::string& team_name) { return find_limit(team_name); };
+    quota_.has_limits = [this] { return has_limits(); };
     settings_.group.zone = settings.zone;
     for (collection_watch* watch : {&configuration_watch_, &instance_watch_, &duty_watch_, &daemon_watch_}) {
         watch->call_after = ports_.call_after;
@@ -259,6 +265,7 @@
                                        time_point received_at) {
         return check_caller(used, key, received_at);
     };
+    environment_.quota = quota_.make_port();
     environment_.find_route = [this](const std::string& database) { return routes_.find(database); };
     environment_.find_group = [this](const std::string& name) -> database_group* {
         const auto found = groups_.find(name);
@@ -308,6 +315,7 @@
     expire_hosted_groups(now);
     forwarder_.tick();
     host_.tick();
+    quota_.tick();
     store_calls_.tick(now);
     lease_.tick();
     observe_era();
@@ -472,11 +480,40 @@
 
 void proxy::on_relay_request(relay_request_kind kind, const nlohmann::json& message,
                              relay_answer_handler respond) {
-    if (kind == relay_request_kind::state) {
+    switch (kind) {
+    case relay_request_kind::state:
         relay_.on_request(message, std::move(respond));
-        return;
+        break;
+    case relay_request_kind::evidence:
+        on_evidence_request(message, respond);
+        break;
+    case relay_request_kind::quota_tokens:
+    case relay_request_kind::quota_shares:
+    case relay_request_kind::quota_holdings:
+        quota_.on_request(kind, message, respond);
+        break;
+    }
+}
+
+std::optional<team_rate> proxy::find_limit(const std::string& team_name) const {
+    if (!routes_.current() || routes_.current()->teams == nullptr) {
+        return std::nullopt;
+    }
+    const auto found = routes_.current()->teams->teams().find(team_name);
+    return found == routes_.current()->teams->teams().end() ? std::nullopt : found->second->rate;
+}
+
+bool proxy::has_limits() const {
+    if (!routes_.current() || routes_.current()->teams == nullptr) {
+        return false;
     }
-    on_evidence_request(message, respond);
+    const std::map<std::string, std::shared_ptr<const team>, std::less<>>& teams =
+        routes_.current()->teams->teams();
+    return std::any_of(
+        teams.begin(), teams.end(),
+        [](const std::map<std::string, std::shared_ptr<const team>, std::less<>>::value_type& entry) {
+            return entry.second->rate.has_value();
+        });
 }
 
 void proxy::on_evidence_request(const nlohmann::json& message, const relay_answer_handler& respond) {
@@ -747,6 +784,7 @@
     directory_.remove_own_entry();
     relay_.stop();
     host_.refuse_new();
+    quota_.stop();
     log_.write(log_level::info, "proxy", "stop_requested", {{"grace_ms", to_milliseconds(settings_.grace)}});
 }
 
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -15,6 +15,7 @@
 #include "gentianhill/proxy/member_record.h"
 #include "gentianhill/proxy/statement_host.h"
 #include "gentianhill/proxy/term_record.h"
+#include "gentianhill/quota/team_quota.h"
 #include "gentianhill/relay/daemon_directory.h"
 #include "gentianhill/relay/relay_port.h"
 #include "gentianhill/relay/state_relay.h"
@@ -62,6 +63,7 @@
     owner_selection_settings owners;
     statement_forwarder_settings forwarder;
     statement_host_settings host;
+    quota_settings quota;
 };
 
 /// External operations used by a proxy.
@@ -155,6 +157,9 @@
     /// True while the keys of callers can be checked for long enough that clients need not turn to another
     /// daemon.
     [[nodiscard]] bool can_check_keys() const;
+    /// Limit of a team by the configuration in effect; nothing when it has none.
+    [[nodiscard]] std::optional<team_rate> find_limit(const std::string& team_name) const;
+    [[nodiscard]] bool has_limits() const;
     void apply_group_limits();
     /// Sets the part that this daemon has in running the statements of a group.
     void apply_role(database_group& members, const group_limits& limits);
@@ -206,6 +211,7 @@
     daemon_directory directory_;
     state_relay relay_;
     zone_evidence evidence_;
+    team_quota quota_;
     duty_lease lease_;
     failover_port failover_port_;
     std::map<std::string, std::unique_ptr<database_group>, std::less<>> groups_;
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -69,6 +69,14 @@
                                           "Time for which a key may be used after it was taken away, also by "
                                           "daemons that are out of touch with "
                                           "the store; 0 when only the configuration in effect counts."));
+    result.push_back(make_number_setting("quota_window_s", "0", 0, 3600, "s",
+                                         "Sliding window in which the operations of a team are counted over "
+                                         "all daemons; 0 keeps no limits."));
+    result.push_back(make_number_setting("quota_over", "0.1", 0, 10, "",
+                                         "Part by which the operations in a window may exceed the limit of "
+                                         "the team."));
+    result.push_back(make_number_setting("quota_slack", "20", 0, 1'000'000, "operations",
+                                         "Operations in a window that may exceed the limit besides."));
     setting_definition level;
     level.name = "log_level";
     level.type = setting_type::choice;
@@ -128,6 +136,10 @@
     result.proxy.failover.promotion.trust_wait =
         std::max(result.proxy.group.trust_window - promotion_delay, duration(0)) + trust_margin;
     result.proxy.key_lease = std::chrono::milliseconds(values.integer("key_lease_ms"));
+    result.proxy.quota.window =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(values.number("quota_window_s")));
+    result.proxy.quota.over = values.number("quota_over");
+    result.proxy.quota.slack = values.number("quota_slack");
     const duration silence_limit = std::chrono::milliseconds(values.integer("silence_limit_ms"));
     result.proxy.watch.wait = silence_limit - call_margin;
     // With both sources lost at once, a daemon has another one within the silence limit.
