--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -26,6 +26,12 @@
 /// answered.
 constexpr duration hand_on_margin = 50ms;
 
+constexpr std::string_view session_full_detail = "the session keeps too many values and statements";
+
+std::size_t size_of(const statement& sized) {
+    return sized.id.size() + sized.text.size() + sized.name.size() + sized.argument.size();
+}
+
 bool guarantees_no_effect(statement_outcome outcome) {
     return outcome >= statement_outcome::busy && outcome <= statement_outcome::denied;
 }
@@ -66,6 +72,7 @@
 }
 
 void client_session::submit(statement next, time_point received_at) {
+    queued_bytes_ += size_of(next);
     queue_.push_back({std::move(next), received_at});
     run_next();
 }
@@ -111,11 +118,13 @@
     }
     running_ = true;
     const std::weak_ptr<bool> alive = alive_;
-    while (!busy_ && !queue_.empty()) {
+    while (!busy_ && !queue_.empty() && (!may_run || may_run())) {
         current_ = std::move(queue_.front().client_statement);
         // The time that a statement waits for those before it is not its own.
         received_at_ = environment_.counts_statements ? environment_.now() : queue_.front().received_at;
         queue_.pop_front();
+        current_bytes_ = size_of(current_);
+        queued_bytes_ -= current_bytes_;
         busy_ = true;
         pinned_attempts_ = 0;
         busy_since_.reset();
@@ -234,6 +243,11 @@
 }
 
 void client_session::run_local(const statement& next) {
+    if (next.kind != statement_kind::deallocate && may_keep &&
+        !may_keep(session_state::bytes_of(next.name, next.argument))) {
+        answer_failure(statement_outcome::too_large, session_full_detail);
+        return;
+    }
     switch (next.kind) {
     case statement_kind::set_value:
         values_.set_value(next.name, next.argument);
@@ -920,6 +934,8 @@
                     {"detail", result.detail},
                     {"ms", to_milliseconds(environment_.now() - received_at_)}});
     }
+    // Its text is not used any more; a long one is not kept until the next statement.
+    static_cast<void>(std::exchange(current_, {}));
     const std::weak_ptr<bool> alive = alive_;
     on_answer(result);
     if (!alive.expired()) {
