proxy: a team's connection is opened at the chosen instance only

Cause: choosing an instance opened a connection for the team at each candidate, and closed idle ones of other teams for it. Change: only the chosen instance opens one, and not one for each waiting statement of others.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -81,6 +81,13 @@
 /// Longest time for which statements wait for the first read point: an instance counts the connections of a
 /// process that has ended for 3 s.
 constexpr duration warm_up_limit = 3500ms;
+/// True if an instance has or will soon have a connection for a caller that it has no idle one for. Without
+/// teams one is opened at each candidate, as it serves the next statement; a team's is opened where it is
+/// used.
+bool opens_for(proxy_instance& instance, std::string_view team) {
+    return team.empty() ? instance.open_more(1, team) : instance.can_open(team);
+}
+
 /// Statements in flight beyond the instance's slots, to keep it busy while answers are in transit.
 constexpr std::size_t in_flight_reserve = 2;
 /// Cost added for an instance without a free connection; above any difference in latency.
@@ -402,7 +409,7 @@
             continue;
         }
         const bool full =
-            !instance.has_room() || (!instance.has_idle(query.team) && !instance.open_more(1, query.team));
+            !instance.has_room() || (!instance.has_idle(query.team) && !opens_for(instance, query.team));
         const bool probes = query.access == access_kind::read && instance.has_idle(query.team) &&
                             instance.errors().is_probe_due(now());
         const double total_cost =
@@ -460,7 +467,8 @@
                                           std::optional<log_position> min_position) {
     pooled_connection* connection = instance.take(*query.session, query.team);
     if (connection == nullptr) {
-        static_cast<void>(instance.open_more(queue_.size() + 1, query.team));
+        // The other waiting statements may be those of other teams, which open connections of their own.
+        static_cast<void>(instance.open_more(query.team.empty() ? queue_.size() + 1 : 1, query.team));
         return {nullptr, std::nullopt, placement_wait::no_connection};
     }
     return {connection, min_position, placement_wait::none};
--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -156,6 +156,21 @@
     return opening_for_team > 0;
 }
 
+bool proxy_instance::can_open(std::string_view team) const {
+    std::size_t opening = 0;
+    bool has_closable = false;
+    for (const std::unique_ptr<pooled_connection>& connection : connections_) {
+        if (!connection->open_ && connection->team() == team) {
+            return true;
+        }
+        opening += connection->open_ ? 0U : 1U;
+        has_closable = has_closable || (connection->open_ && !connection->used_ &&
+                                        !connection->has_unanswered() && connection->team() != team);
+    }
+    const bool has_place = connections_.size() < settings_.max_connections || has_closable;
+    return has_place && opening < settings_.max_opening && now() >= next_open_at_;
+}
+
 bool proxy_instance::close_idle_of_other_team(std::string_view team) {
     pooled_connection* oldest = nullptr;
     for (const std::unique_ptr<pooled_connection>& connection : connections_) {
@@ -360,11 +375,10 @@
     // An instance that refuses connections has given all that it has.
     const bool may_open =
         connections_.size() < settings_.max_connections && open_backoff_ <= settings_.min_open_backoff;
-    const bool any_idle = std::any_of(connections_.begin(), connections_.end(),
-                                      [](const std::unique_ptr<pooled_connection>& connection) {
-                                          return connection->open_ && !connection->used_ &&
-                                                 !connection->is_resting();
-                                      });
+    const bool any_idle = std::any_of(
+        connections_.begin(), connections_.end(), [](const std::unique_ptr<pooled_connection>& connection) {
+            return connection->open_ && !connection->used_ && !connection->is_resting();
+        });
     return !any_idle && !may_open;
 }
 
--- a/gentianhill/proxy/proxy_instance.h
+++ b/gentianhill/proxy/proxy_instance.h
@@ -87,6 +87,8 @@
     /// Opens connections for a team until `wanted` are being opened for it, within the limits; true when any
     /// is being opened. Closes an idle connection of another team where the limit leaves no room.
     bool open_more(std::size_t wanted, std::string_view team);
+    /// True if a connection for a team is being opened, or open_more() would open one.
+    [[nodiscard]] bool can_open(std::string_view team) const;
     /// Returns a connection to the pool. Closes it instead if it has unanswered commands or an open
     /// transaction.
     void return_to_pool(pooled_connection& connection);
