--- a/gentianhill/quota/share_ledger.h
+++ b/gentianhill/quota/share_ledger.h
@@ -6,7 +6,6 @@
 #include "gentianhill/quota/quota_settings.h"
 #include "gentianhill/quota/token_bucket.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -14,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace gentianhill {
@@ -24,7 +24,10 @@
     std::string name;
     std::string incarnation;
 
-    friend auto operator<=>(const share_holder&, const share_holder&) = default;
+    friend bool operator==(const share_holder&, const share_holder&) = default;
+    friend bool operator<(const share_holder& a, const share_holder& b) {
+        return std::tie(a.name, a.incarnation) < std::tie(b.name, b.incarnation);
+    }
 };
 
 /// Shares of all teams that the allocator has leased to counters. For each team the leased shares, with all
