--- a/gentianhill/proxy/client_session.cpp
+++ b/gentianhill/proxy/client_session.cpp
@@ -21,6 +21,16 @@
 constexpr std::string_view too_large_detail = "too long under the name that sessions share";
 constexpr std::string_view stopping_detail = "the daemon is stopping";
 constexpr std::string_view timeout_detail = "timeout of the route reached";
+constexpr std::string_view owner_lost_detail = "the daemon that runs the statements of the group is lost";
+/// Time after a route's timeout by which the owner of a group, which counts it from the receipt, has
+/// answered.
+constexpr duration hand_on_margin = 50ms;
+
+constexpr std::string_view session_full_detail = "the session keeps too many values and statements";
+
+std::size_t size_of(const statement& sized) {
+    return sized.id.size() + sized.text.size() + sized.name.size() + sized.argument.size();
+}
 
 bool guarantees_no_effect(statement_outcome outcome) {
     return outcome >= statement_outcome::busy && outcome <= statement_outcome::denied;
@@ -61,11 +71,39 @@
     }
 }
 
-void client_session::submit(statement next) {
-    queue_.push_back(std::move(next));
+void client_session::submit(statement next, time_point received_at) {
+    queued_bytes_ += size_of(next);
+    queue_.push_back({std::move(next), received_at});
     run_next();
 }
 
+void client_session::adopt(const session_snapshot& snapshot) {
+    position_ = snapshot.position;
+    fresh_after_ = snapshot.fresh_after;
+    if (!snapshot.in_transaction) {
+        return;
+    }
+    open_transaction opened;
+    opened.reads_only = snapshot.reads_only;
+    opened.begin_id = snapshot.begin_id;
+    opened.begun_at = snapshot.begun_at;
+    opened.last_activity = environment_.now();
+    opened.selected_route = snapshot.selected_route;
+    opened.group = environment_.find_group(snapshot.selected_route->group);
+    transaction_ = std::move(opened);
+}
+
+void client_session::adopt_values(const session_state::value_map* values, const std::string& name,
+                                  const prepared_statement* prepared) {
+    if (values != nullptr) {
+        values_.replace_values(*values);
+    }
+    if (prepared != nullptr) {
+        // One name only, so the number of names is no limit.
+        static_cast<void>(values_.prepare(name, *prepared));
+    }
+}
+
 transaction_state client_session::state() const {
     if (!transaction_) {
         return transaction_state::idle;
@@ -80,15 +118,21 @@
     }
     running_ = true;
     const std::weak_ptr<bool> alive = alive_;
-    while (!busy_ && !queue_.empty()) {
-        current_ = std::move(queue_.front());
+    while (!busy_ && !queue_.empty() && (!may_run || may_run())) {
+        current_ = std::move(queue_.front().client_statement);
+        // The time that a statement waits for those before it is not its own.
+        received_at_ = environment_.counts_statements ? environment_.now() : queue_.front().received_at;
         queue_.pop_front();
+        current_bytes_ = size_of(current_);
+        queued_bytes_ -= current_bytes_;
         busy_ = true;
-        received_at_ = environment_.now();
         pinned_attempts_ = 0;
         busy_since_.reset();
         if (transaction_) {
-            transaction_->last_activity = received_at_;
+            if (transaction_->connection != nullptr) {
+                transaction_->group->on_transaction_pause(environment_.now() - transaction_->last_activity);
+            }
+            transaction_->last_activity = environment_.now();
         }
         run(current_);
         if (alive.expired()) {
@@ -132,7 +176,7 @@
     }
     caller_check check = environment_.check_caller(*used, key_, received_at_);
     if (check.verdict == caller_verdict::allowed) {
-        if (!transaction_ || transaction_->connection == nullptr) {
+        if (!transaction_ || (transaction_->connection == nullptr && !transaction_->remote)) {
             caller_ = check.caller;
             return false;
         }
@@ -199,9 +243,15 @@
 }
 
 void client_session::run_local(const statement& next) {
+    if (next.kind != statement_kind::deallocate && may_keep &&
+        !may_keep(session_state::bytes_of(next.name, next.argument))) {
+        answer_failure(statement_outcome::too_large, session_full_detail);
+        return;
+    }
     switch (next.kind) {
     case statement_kind::set_value:
         values_.set_value(next.name, next.argument);
+        values_changed_ = true;
         break;
     case statement_kind::prepare:
         if (!fits_message(next)) {
@@ -247,6 +297,7 @@
     opened.last_activity = received_at_;
     opened.selected_route = std::move(selected_route);
     opened.group = group;
+    opened.configuration_version = environment_.configuration_version();
     transaction_ = opened;
     answer_done();
 }
@@ -296,7 +347,9 @@
         answer_failure(statement_outcome::too_large, too_large_detail);
         return;
     }
-    if (transaction_ && transaction_->connection != nullptr) {
+    if (transaction_ && transaction_->remote) {
+        hand_on_pinned(next);
+    } else if (transaction_ && transaction_->connection != nullptr) {
         run_pinned(next);
     } else {
         run_unpinned(next);
@@ -366,6 +419,12 @@
 }
 
 void client_session::start_unpinned(const statement& next) {
+    if (!hand_on(next)) {
+        run_here(next);
+    }
+}
+
+void client_session::run_here(const statement& next) {
     statement_task::request request = make_request(next);
     database_group* group = transaction_ ? transaction_->group : nullptr;
     group_name_ = group != nullptr ? group->name() : group_name_;
@@ -405,14 +464,20 @@
 
 void client_session::on_unpinned_result(statement_result& result, pooled_connection* connection) {
     task_.reset();
+    if (apply_unpinned_result(result, connection != nullptr)) {
+        pin(*connection);
+    }
+    result.state = state();
+    answer(std::move(result));
+}
+
+bool client_session::apply_unpinned_result(const statement_result& result, bool stays_open) {
     const bool wrote = writes(current_);
     if (!transaction_) {
         if (result.outcome == statement_outcome::done && wrote) {
             after_commit(result, true);
         }
-        result.state = transaction_state::idle;
-        answer(std::move(result));
-        return;
+        return false;
     }
     if (result.outcome != statement_outcome::done) {
         if (current_.kind == statement_kind::commit) {
@@ -420,20 +485,155 @@
         } else {
             transaction_->failed = true;
         }
-        result.state = state();
-        answer(std::move(result));
+        return false;
+    }
+    if (!stays_open) {
+        transaction_.reset();
+        return false;
+    }
+    transaction_->wrote = wrote;
+    return true;
+}
+
+hand_on_request client_session::make_hand_on_request(const statement& next,
+                                                     std::shared_ptr<const route> selected_route) const {
+    hand_on_request request;
+    request.client_statement = next;
+    if (const prepared_statement* prepared = required_statement()) {
+        request.prepared = *prepared;
+    }
+    request.received_at = received_at_;
+    request.selected_route = std::move(selected_route);
+    return request;
+}
+
+statement_forwarder::handler
+client_session::make_hand_on_handler(void (client_session::*on_outcome)(hand_on_outcome& outcome)) {
+    return [this, on_outcome, number = ++hand_ons_, forwarder = environment_.forwarder,
+            alive = std::weak_ptr<bool>(alive_)](hand_on_outcome outcome) {
+        if (alive.expired() || !handed_on_ || number != hand_ons_) {
+            // The client has gone, or the statement was given up, and with it a transaction that is open now.
+            if (outcome.transaction) {
+                forwarder->end(*outcome.transaction);
+            }
+            return;
+        }
+        handed_on_ = false;
+        (this->*on_outcome)(outcome);
+    };
+}
+
+bool client_session::hand_on(const statement& next) {
+    if (environment_.forwarder == nullptr) {
+        return false;
+    }
+    const std::shared_ptr<const route> selected_route =
+        transaction_ ? transaction_->selected_route : environment_.find_route(database_);
+    if (selected_route == nullptr || !environment_.hands_on(selected_route->group)) {
+        return false;
+    }
+    group_name_ = selected_route->group;
+    handed_on_timeout_ = selected_route->timeout;
+    hand_on_request request = make_hand_on_request(next, selected_route);
+    request.values = values_.values();
+    request.team = team_name(caller_);
+    request.session_position = position_;
+    request.fresh_after = fresh_after_;
+    request.begun_at = received_at_;
+    request.configuration_version = environment_.configuration_version();
+    if (transaction_) {
+        request.configuration_version = transaction_->configuration_version;
+        request.in_transaction = true;
+        request.reads_only = transaction_->reads_only;
+        request.begin_id = transaction_->begin_id;
+        request.begun_at = transaction_->begun_at;
+    }
+    // A transaction without a commit has no effect if its connection ends.
+    const bool may_repeat = transaction_ || !writes(next);
+    values_changed_ = false;
+    handed_on_ = true;
+    handed_on_ = environment_.forwarder->run(std::move(request), may_repeat,
+                                             make_hand_on_handler(&client_session::on_handed_on));
+    return handed_on_;
+}
+
+void client_session::on_handed_on(hand_on_outcome& outcome) {
+    if (outcome.fate == hand_on_fate::lost) {
+        answer_failure(statement_outcome::in_doubt, owner_lost_detail);
         return;
     }
-    if (connection != nullptr) {
-        pin(*connection);
-        transaction_->wrote = wrote;
-    } else {
+    if (outcome.fate == hand_on_fate::not_run) {
+        if (outcome.refusal == hand_on_refusal::overloaded) {
+            answer_failure(transaction_ ? statement_outcome::aborted : statement_outcome::busy,
+                           to_string(outcome.refusal));
+        } else if (!refuse_while_stopping(current_) && !refuse_caller(current_)) {
+            run_here(current_);
+        }
+        return;
+    }
+    if (apply_unpinned_result(outcome.result, outcome.transaction.has_value())) {
+        transaction_->remote = outcome.transaction;
+    }
+    outcome.result.state = state();
+    answer(std::move(outcome.result));
+}
+
+void client_session::hand_on_pinned(const statement& next) {
+    hand_on_request request = make_hand_on_request(next, transaction_->selected_route);
+    if (values_changed_) {
+        request.values = values_.values();
+        values_changed_ = false;
+    }
+    handed_on_ = true;
+    environment_.forwarder->resume(*transaction_->remote, std::move(request),
+                                   make_hand_on_handler(&client_session::on_pinned_handed_on));
+}
+
+void client_session::on_pinned_handed_on(hand_on_outcome& outcome) {
+    const bool commits = current_.kind == statement_kind::commit;
+    const bool unknown = outcome.fate == hand_on_fate::lost && commits && transaction_->wrote;
+    if (outcome.fate != hand_on_fate::answered) {
+        // Whether it was not sent or its owner was lost, the transaction is rolled back.
+        transaction_->remote.reset();
+        transaction_->failed = true;
+        if (commits) {
+            transaction_.reset();
+        }
+        answer_failure(unknown ? statement_outcome::in_doubt : statement_outcome::aborted, owner_lost_detail);
+        return;
+    }
+    statement_result& result = outcome.result;
+    transaction_->remote = outcome.transaction;
+    if (result.outcome == statement_outcome::done && commits) {
+        after_commit(result, transaction_->wrote);
         transaction_.reset();
+    } else if (result.outcome == statement_outcome::done) {
+        transaction_->wrote = transaction_->wrote || writes(current_);
+    } else if (commits) {
+        transaction_.reset();
+    } else {
+        transaction_->failed = true;
     }
     result.state = state();
     answer(std::move(result));
 }
 
+void client_session::give_up_handed_on(std::string_view detail) {
+    handed_on_ = false;
+    const bool commits = current_.kind == statement_kind::commit;
+    if (!transaction_) {
+        answer_failure(writes(current_) ? statement_outcome::in_doubt : statement_outcome::timed_out, detail);
+        return;
+    }
+    const bool unknown = commits && transaction_->wrote;
+    release_pinned();
+    transaction_->failed = true;
+    if (commits) {
+        transaction_.reset();
+    }
+    answer_failure(unknown ? statement_outcome::in_doubt : statement_outcome::aborted, detail);
+}
+
 void client_session::pin(pooled_connection& connection) {
     transaction_->connection = &connection;
     connection.on_lost = [this] { on_pinned_lost(); };
@@ -575,6 +775,11 @@
 }
 
 void client_session::release_pinned() {
+    if (transaction_ && transaction_->remote) {
+        environment_.forwarder->end(*transaction_->remote);
+        transaction_->remote.reset();
+        return;
+    }
     if (!transaction_ || transaction_->connection == nullptr) {
         return;
     }
@@ -602,6 +807,10 @@
 
 void client_session::tick() {
     const time_point now = environment_.now();
+    if (handed_on_ && now >= received_at_ + handed_on_timeout_ + hand_on_margin) {
+        give_up_handed_on(timeout_detail);
+        return;
+    }
     if (!transaction_) {
         return;
     }
@@ -613,6 +822,10 @@
                 {{"group", transaction_->selected_route->group}, {"limit_ms", to_milliseconds(limit)}});
             release_pinned();
             transaction_->failed = true;
+        } else if (transaction_->connection != nullptr &&
+                   transaction_->group->ends_idle_transaction(*transaction_->connection, limit,
+                                                              now - transaction_->last_activity)) {
+            end_transaction();
         }
         return;
     }
@@ -663,6 +876,8 @@
     if (task_) {
         const std::shared_ptr<statement_task> running = task_;
         running->give_up(detail);
+    } else if (handed_on_) {
+        give_up_handed_on(detail);
     } else if (awaiting_admission_) {
         awaiting_admission_.reset();
         answer_failure(transaction_ ? statement_outcome::aborted : statement_outcome::busy, detail);
@@ -698,15 +913,17 @@
 
 void client_session::answer(statement_result result) {
     busy_ = false;
-    counters_.statements.add();
-    counters_.latency.record(environment_.now() - received_at_);
+    if (environment_.counts_statements) {
+        counters_.statements.add();
+        counters_.latency.record(environment_.now() - received_at_);
+    }
     if (transaction_) {
         transaction_->last_activity = environment_.now();
     }
     if (result.outcome != statement_outcome::done) {
-        if (guarantees_no_effect(result.outcome)) {
+        if (environment_.counts_statements && guarantees_no_effect(result.outcome)) {
             counters_.refused.add();
-        } else if (result.outcome == statement_outcome::in_doubt) {
+        } else if (environment_.counts_statements && result.outcome == statement_outcome::in_doubt) {
             counters_.in_doubt.add();
         }
         log_.write(log_level::info, "statement", "refused",
@@ -717,6 +934,8 @@
                     {"detail", result.detail},
                     {"ms", to_milliseconds(environment_.now() - received_at_)}});
     }
+    // Its text is not used any more; a long one is not kept until the next statement.
+    static_cast<void>(std::exchange(current_, {}));
     const std::weak_ptr<bool> alive = alive_;
     on_answer(result);
     if (!alive.expired()) {
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gentianhill/admission/idle_transaction_policy.h"
+#include "gentianhill/admission/statement_queue.h"
 #include "gentianhill/core/logger.h"
 #include "gentianhill/core/metrics.h"
 #include "gentianhill/failover/former_primary.h"
@@ -25,10 +27,22 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace gentianhill {
 
+/// Part of a daemon in running the statements of a group.
+enum class group_role : std::uint8_t {
+    /// Each daemon runs the statements of its own clients.
+    shared,
+    /// This daemon runs those of all clients of the zone, and keeps connections for them.
+    owner,
+    /// Another daemon does. This one opens connections only for statements that reach no owner.
+    guest,
+};
+
 /// Limits, timeouts and placement costs of one database group.
 struct database_group_settings {
     /// Availability zone of this proxy. Instances in it are preferred, since traffic between zones is
@@ -47,6 +61,11 @@
     double lagging_ms = 15.0;
     primary_failure_detector_settings failure_detector;
     instance_pool_settings pool;
+    /// Idle time after which an owner closes a connection. An instance counts the connections of a process
+    /// that has ended for seconds, so idle ones take places that the processes which replace it need.
+    duration owner_idle_timeout = std::chrono::seconds(4);
+    /// Time after the last statement for which a guest goes on watching the instances of the group.
+    duration guest_interest = std::chrono::seconds(2);
 };
 
 /// Metrics shared by all groups.
@@ -56,6 +75,10 @@
     counter& statements;
     counter& refused;
     counter& callers_refused;
+    counter& refused_on_arrival;
+    counter& refused_in_queue;
+    counter& idle_transactions_ended;
+    gauge& waiting;
     counter& in_doubt;
     counter& repeated;
     counter& second_reads;
@@ -109,6 +132,12 @@
     /// the current share.
     void set_limits(const group_limits& limits, std::size_t proxies);
 
+    /// Sets the part of this daemon; as owner or guest it has at most that many connections to an instance.
+    void set_role(group_role role, std::size_t connections);
+    [[nodiscard]] group_role role() const { return role_; }
+    /// True if this daemon keeps itself informed of the instances.
+    [[nodiscard]] bool is_watching() const;
+
     /// Starts an era of the metadata store. A member may have joined in the time that the restore has removed
     /// and have ended unseen, so the group is settled only by evidence requested at or after `evidence_from`.
     void begin_era(std::uint64_t era, time_point evidence_from);
@@ -124,8 +153,15 @@
     /// Selects an instance for a statement and takes a connection to it.
     [[nodiscard]] placement place(const placement_query& query);
     /// Queues a task; placement is retried whenever a connection, read point or evidence may have become
-    /// available.
+    /// available. Refuses it if the queue is full.
     void enqueue(const std::shared_ptr<statement_task>& task);
+    /// Refuses a task that waits for a connection if, by the measured service times, those that are served
+    /// before it leave no time for it.
+    void refuse_if_unservable(const std::shared_ptr<statement_task>& task);
+    /// Removes a task from the queue, if it waits there.
+    void dequeue(statement_task& task);
+    /// True if statements wait, which may have to be served before a new one.
+    [[nodiscard]] bool has_waiting_tasks() const { return queue_.size() > 0; }
     /// Calls the task's tick() until it is finished.
     void track(const std::shared_ptr<statement_task>& task);
     /// Sends setup steps; `done` receives whether all of them were acknowledged.
@@ -135,6 +171,12 @@
     void place_waiting_tasks();
     /// Time after which the instances are asked as well when the zone has not answered.
     static constexpr duration zone_patience = std::chrono::milliseconds(8);
+    /// Records a pause of a client inside a transaction, which ended with its next statement.
+    void on_transaction_pause(duration pause) { idle_policy_.on_pause(pause); }
+    /// True if a transaction that has been idle for `idle_time` is to be ended because statements wait for a
+    /// connection of its instance. `configured` is the operator's limit. No more are ended than wait.
+    [[nodiscard]] bool ends_idle_transaction(const pooled_connection& connection, duration configured,
+                                             duration idle_time);
     /// Returns a connection to its pool, after a rollback if a transaction is open on it.
     void return_connection(pooled_connection& connection);
     /// Confirms a write or commit, sent at `sent_at`, that an instance acknowledged. `done` is called once
@@ -187,6 +229,9 @@
     [[nodiscard]] bool is_serving() const;
     /// Records that a statement was refused because no instance or fresh read point was available.
     void on_unservable_statement();
+    /// True while this daemon has watched the instances for a short time only and lacks a read point. Places
+    /// at instances that are full of the connections of ended processes become free in that time.
+    [[nodiscard]] bool is_warming_up() const;
     /// Time by which a new primary is expected to serve; nothing while one serves.
     [[nodiscard]] std::optional<time_point> primary_expected_at() const;
     /// Consumes one second read from the budget; false when it is exhausted.
@@ -198,6 +243,24 @@
     [[nodiscard]] logger& log() { return log_; }
 
 private:
+    /// Instances that can serve a statement.
+    [[nodiscard]] static statement_lane lane_of(const placement_query& query);
+    [[nodiscard]] queued_statement describe(const statement_task& task) const;
+    /// Tries to place a task of the queue.
+    [[nodiscard]] offer_result offer_connection(statement_queue::entry_id id);
+    /// True if a replica is avoided because of its short log.
+    [[nodiscard]] bool has_lagging() const;
+    /// Connections that become free for a lane, per second; zero while no instance is usable.
+    [[nodiscard]] double service_rate(statement_lane lane) const;
+    /// Expected time from sending a statement to its answer.
+    [[nodiscard]] duration expected_service(statement_lane lane) const;
+    /// The same for a statement that takes longer than most.
+    [[nodiscard]] duration slow_service_of(statement_lane lane) const;
+    /// Refuses the waiting statements that other ones will keep from being served in time.
+    void refuse_unservable_tasks(time_point current);
+    /// Refuses a statement that had to leave the full queue.
+    void refuse_displaced(statement_queue::entry_id id);
+    void log_refusal(const statement_task& task, std::string_view event, std::size_t ahead, duration wait);
     [[nodiscard]] placement place_at_primary(const placement_query& query);
     [[nodiscard]] placement place_read(const placement_query& query);
     [[nodiscard]] proxy_instance* choose(const placement_query& query, const log_position& min_position);
@@ -210,7 +273,8 @@
     void on_failure(proxy_instance& instance, disconnect_reason reason);
     /// Called when an instance is found to send answers twice.
     void on_repeated_answers(const proxy_instance& instance);
-    void poll_status(proxy_instance& instance);
+    /// Returns false if the call has to wait for a connection.
+    bool poll_status(proxy_instance& instance);
     void on_status(proxy_instance& instance, const instance_status& status, time_point sent_at);
     void set_primary(const std::string& id, term_number term);
     /// Settles the group by the answer of a replica to a status call sent at `sent_at`, if it suffices.
@@ -281,6 +345,9 @@
     /// A read must see every commit that was acknowledged before this time.
     [[nodiscard]] time_point oldest_allowed_time(const placement_query& query) const;
     void probe_primary(time_point current);
+    void begin_watching();
+    /// Records that a statement is to be placed; a guest then begins to watch the instances.
+    void note_statement();
     void tick_tasks(time_point current);
     [[nodiscard]] proxy_instance* primary();
 
@@ -332,7 +399,14 @@
     time_point last_settlement_poll_;
     primary_failure_detector failure_detector_;
 
-    std::vector<std::shared_ptr<statement_task>> waiting_;
+    statement_queue queue_;
+    std::unordered_map<statement_queue::entry_id, std::shared_ptr<statement_task>> queued_tasks_;
+    time_point last_queue_check_;
+    idle_transaction_policy idle_policy_;
+    /// Idle transactions that may still be ended before the next tick.
+    std::size_t idle_endings_left_ = 0;
+    /// Waiting statements that this group has added to the metric.
+    double counted_waiting_ = 0;
     std::vector<std::weak_ptr<statement_task>> active_;
     bool placing_tasks_ = false;
     bool accepts_attempts_ = true;
@@ -364,6 +438,11 @@
     std::optional<time_point> unservable_since_;
     time_point last_poll_;
     bool is_prober_ = true;
+    group_role role_ = group_role::shared;
+    /// Time since which this daemon has watched the instances without interruption.
+    time_point watching_since_;
+    /// Time at which a statement was last to be placed.
+    time_point last_statement_;
     double second_read_budget_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/gentianhill/session/session_state.h
+++ b/gentianhill/session/session_state.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace gentianhill {
 
@@ -28,12 +30,20 @@
 
     /// Sets or replaces a session value.
     void set_value(std::string_view name, std::string_view value);
+    /// Replaces all session values.
+    void replace_values(value_map values) { values_ = std::move(values); }
     /// Adds or replaces a prepared statement; false when a new name would exceed `max_prepared`.
     [[nodiscard]] bool prepare(std::string_view name, const prepared_statement& prepared);
     /// Removes a prepared statement; false when there is none with that name.
     bool deallocate(std::string_view name);
     /// Returns the statement prepared under a name; null when there is none.
     [[nodiscard]] const prepared_statement* find_prepared(std::string_view name) const;
+    /// Memory that the values and prepared statements take, in bytes.
+    [[nodiscard]] std::size_t bytes() const { return bytes_; }
+    /// Memory that a name and its value or shape take, in bytes.
+    [[nodiscard]] static std::size_t bytes_of(std::string_view name, std::string_view value) {
+        return name.size() + value.size() + entry_bytes;
+    }
     /// All session values.
     [[nodiscard]] const value_map& values() const { return values_; }
 
@@ -41,8 +51,12 @@
     static constexpr std::size_t max_prepared = 1000;
 
 private:
+    /// Bytes of an entry besides its name and value: nodes of the containers and of the allocator.
+    static constexpr std::size_t entry_bytes = 192;
+
     value_map values_;
     std::map<std::string, prepared_statement, std::less<>> prepared_;
+    std::size_t bytes_ = 0;
 };
 
 } // namespace gentianhill
