--- a/gentianhill/proxy/proxy_instance.cpp
+++ b/gentianhill/proxy/proxy_instance.cpp
@@ -360,11 +360,10 @@
     // An instance that refuses connections has given all that it has.
     const bool may_open =
         connections_.size() < settings_.max_connections && open_backoff_ <= settings_.min_open_backoff;
-    const bool any_idle = std::any_of(connections_.begin(), connections_.end(),
-                                      [](const std::unique_ptr<pooled_connection>& connection) {
-                                          return connection->open_ && !connection->used_ &&
-                                                 !connection->is_resting();
-                                      });
+    const bool any_idle = std::any_of(
+        connections_.begin(), connections_.end(), [](const std::unique_ptr<pooled_connection>& connection) {
+            return connection->open_ && !connection->used_ && !connection->is_resting();
+        });
     return !any_idle && !may_open;
 }
 
--- a/gentianhill/quota/quota_settings.h
+++ b/gentianhill/quota/quota_settings.h
@@ -32,11 +32,12 @@
     /// Time ahead for which a daemon asks for tokens.
     duration ahead = std::chrono::milliseconds(250);
     /// Longest wait of an operation for tokens; a small part of a usual latency objective.
-    duration max_wait = std::chrono::milliseconds(150);
+    duration max_wait = std::chrono::milliseconds(200);
     /// Longest wait while no counter has a share, such as after a restart of all daemons.
     duration max_unassigned_wait = std::chrono::milliseconds(400);
-    /// Timeout of a request to a counter, in the own zone.
-    duration counter_timeout = std::chrono::milliseconds(40);
+    /// Timeout of a request to a counter, in the own zone. A host whose share of a core is used up pauses for
+    /// up to 100 ms.
+    duration counter_timeout = std::chrono::milliseconds(120);
     /// Timeout of a request to the allocator, in any zone.
     duration allocator_timeout = std::chrono::milliseconds(250);
     /// Time for which a daemon that did not answer is left alone.
