statement_forwarder: the size of a message counts the session's values

Cause: only the statement's text was counted, so a session with more than 1.25 MB of values was handed on, refused by the owner's transport as too large, and a write was answered as in doubt though it had not run (report of the owners' part). Change: statement, prepared statement and values count together; above 256 KB the daemon of the client runs the statement.

--- a/gentianhill/ownership/statement_forwarder.cpp
+++ b/gentianhill/ownership/statement_forwarder.cpp
@@ -21,6 +21,19 @@
     }
 }
 
+/// Size of the statement and of the session that it needs, in bytes.
+std::size_t content_bytes(const hand_on_request& request) {
+    const statement& sent = request.client_statement;
+    std::size_t bytes = sent.text.size() + sent.name.size() + sent.argument.size();
+    bytes += request.prepared ? request.prepared->shape.size() : 0;
+    if (request.values) {
+        for (const session_state::value_map::value_type& value : *request.values) {
+            bytes += value.first.size() + value.second.size();
+        }
+    }
+    return bytes;
+}
+
 } // namespace
 
 statement_forwarder::statement_forwarder(const statement_forwarder_settings& settings,
@@ -59,8 +72,7 @@
     if (owner == owners_.own_name() || !address_of(owner)) {
         return false;
     }
-    if (statement.request.client_statement.text.size() + statement.request.client_statement.argument.size() >
-        settings_.max_message_bytes) {
+    if (content_bytes(statement.request) > settings_.max_message_bytes) {
         return false;
     }
     send(owner, std::move(statement));
--- a/tests/proxy/statement_owner_tests.cpp
+++ b/tests/proxy/statement_owner_tests.cpp
@@ -71,6 +71,17 @@
     CHECK(deployment.messages_handed_on[owner] >= 2);
 }
 
+// Guards against a message that the owner's transport refuses, after which a write would be in doubt.
+TEST_CASE_FIXTURE(owner_fixture, "statement_owner_write_of_large_session_runs_at_the_daemon_of_its_client") {
+    for (int count = 0; count < 3; ++count) {
+        client->set("value-" + std::to_string(count), std::string(500'000, 'v'));
+    }
+    deployment.run_for(100ms);
+    const std::size_t before = deployment.messages_handed_on[owner];
+    CHECK(run("WRITE a 1", 1s) == statement_outcome::done);
+    CHECK(deployment.messages_handed_on[owner] == before);
+}
+
 // Guards against a transaction that is spread over connections, or that sees another one's end.
 TEST_CASE_FIXTURE(owner_fixture, "statement_owner_transaction_is_committed_at_the_owner") {
     open_transaction();
