tests: a session that must open is required to open again

Cause: simulated_deployment::connect returned null instead of failing the test, since the tests of teams need refused sessions; other tests would have ended by a crash instead of a message. Change: connect() requires the session, try_connect() may return null.

--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -516,6 +516,13 @@
 
 std::unique_ptr<simulated_client>
 simulated_deployment::connect(std::size_t proxy, const std::string& database, const std::string& key) {
+    std::unique_ptr<simulated_client> client = try_connect(proxy, database, key);
+    REQUIRE(client != nullptr);
+    return client;
+}
+
+std::unique_ptr<simulated_client>
+simulated_deployment::try_connect(std::size_t proxy, const std::string& database, const std::string& key) {
     statement_outcome refusal = statement_outcome::done;
     std::unique_ptr<client_session> session = at(proxy).open_session(database, key, refusal);
     if (session == nullptr) {
--- a/tests/proxy/simulated_deployment.h
+++ b/tests/proxy/simulated_deployment.h
@@ -68,9 +68,11 @@
 
     /// Connects a client to a proxy with the database "latest", "bounded" or "own", named after its
     /// consistency level.
-    /// Null when the proxy refuses the session; last_refusal says why.
     [[nodiscard]] std::unique_ptr<simulated_client> connect(std::size_t proxy, const std::string& database,
                                                             const std::string& key = "");
+    /// The same; null when the proxy refuses the session, and last_refusal says why.
+    [[nodiscard]] std::unique_ptr<simulated_client>
+    try_connect(std::size_t proxy, const std::string& database, const std::string& key = "");
     void run_for(duration length);
     /// Destroys a proxy without a graceful shutdown.
     void kill(std::size_t proxy);
--- a/tests/proxy/store_restore_tests.cpp
+++ b/tests/proxy/store_restore_tests.cpp
@@ -35,7 +35,7 @@
     [[nodiscard]] std::size_t serving(const std::string& database) {
         std::size_t count = 0;
         for (std::size_t proxy = 0; proxy < 4; ++proxy) {
-            count += deployment.connect(proxy, database) != nullptr ? 1U : 0U;
+            count += deployment.try_connect(proxy, database) != nullptr ? 1U : 0U;
         }
         return count;
     }
--- a/tests/proxy/teams_tests.cpp
+++ b/tests/proxy/teams_tests.cpp
@@ -54,8 +54,8 @@
 } // namespace
 
 TEST_CASE_FIXTURE(teams_fixture, "statement_of_a_caller_with_a_key_runs_for_its_team") {
-    const std::unique_ptr<simulated_client> club = deployment.connect(0, "own", club_key);
-    const std::unique_ptr<simulated_client> rider = deployment.connect(0, "own", rider_key);
+    const std::unique_ptr<simulated_client> club = deployment.try_connect(0, "own", club_key);
+    const std::unique_ptr<simulated_client> rider = deployment.try_connect(0, "own", rider_key);
     REQUIRE(club != nullptr);
     REQUIRE(rider != nullptr);
     const std::string write = club->send("WRITE a 1");
@@ -69,9 +69,9 @@
 }
 
 TEST_CASE_FIXTURE(teams_fixture, "caller_with_an_unknown_key_or_none_is_denied") {
-    CHECK(deployment.connect(0, "own", "k-nobody") == nullptr);
+    CHECK(deployment.try_connect(0, "own", "k-nobody") == nullptr);
     CHECK(deployment.last_refusal == statement_outcome::denied);
-    CHECK(deployment.connect(0, "own") == nullptr);
+    CHECK(deployment.try_connect(0, "own") == nullptr);
     CHECK(deployment.last_refusal == statement_outcome::denied);
 }
 
@@ -79,7 +79,7 @@
     deployment.public_databases = {"bounded"};
     deployment.configure(++version);
     deployment.run_for(2s);
-    const std::unique_ptr<simulated_client> anyone = deployment.connect(1, "bounded");
+    const std::unique_ptr<simulated_client> anyone = deployment.try_connect(1, "bounded");
     REQUIRE(anyone != nullptr);
     const std::string read = anyone->send("READ a");
     deployment.run_for(200ms);
@@ -88,8 +88,8 @@
 }
 
 TEST_CASE_FIXTURE(teams_fixture, "key_that_was_taken_away_runs_nothing_once_the_configuration_has_arrived") {
-    const std::unique_ptr<simulated_client> idle = deployment.connect(0, "own", club_key);
-    const std::unique_ptr<simulated_client> open = deployment.connect(1, "latest", club_key);
+    const std::unique_ptr<simulated_client> idle = deployment.try_connect(0, "own", club_key);
+    const std::unique_ptr<simulated_client> open = deployment.try_connect(1, "latest", club_key);
     open->send("BEGIN");
     const std::string written = open->send("WRITE a 1");
     deployment.run_for(200ms);
@@ -111,7 +111,7 @@
     for (const char* id : {"i-1", "i-2", "i-3"}) {
         deployment.cut(0, id, true);
     }
-    const std::unique_ptr<simulated_client> club = deployment.connect(0, "latest", club_key);
+    const std::unique_ptr<simulated_client> club = deployment.try_connect(0, "latest", club_key);
     deployment.configure(++version, true, 8000ms);
     deployment.run_for(2s);
     const std::string read = club->send("READ a");
@@ -126,8 +126,8 @@
 }
 
 TEST_CASE_FIXTURE(teams_fixture, "isolated_proxy_runs_nothing_for_keys_once_its_configuration_is_too_old") {
-    const std::unique_ptr<simulated_client> club = deployment.connect(0, "latest", club_key);
-    const std::unique_ptr<simulated_client> open = deployment.connect(0, "latest", club_key);
+    const std::unique_ptr<simulated_client> club = deployment.try_connect(0, "latest", club_key);
+    const std::unique_ptr<simulated_client> open = deployment.try_connect(0, "latest", club_key);
     deployment.run_for(1s);
     isolate(0);
     take_club_key_away();
@@ -146,15 +146,15 @@
     CHECK_FALSE(has_run(read));
     CHECK_FALSE(has_run(commit));
     // A doubtful key is not refused as if it were wrong.
-    CHECK(deployment.connect(0, "latest", rider_key) == nullptr);
+    CHECK(deployment.try_connect(0, "latest", rider_key) == nullptr);
     CHECK(deployment.last_refusal == statement_outcome::busy);
-    CHECK(deployment.connect(0, "latest", "k-nobody") == nullptr);
+    CHECK(deployment.try_connect(0, "latest", "k-nobody") == nullptr);
     CHECK(deployment.last_refusal == statement_outcome::busy);
     CHECK_FALSE(deployment.at(0).is_ready());
 }
 
 TEST_CASE_FIXTURE(teams_fixture, "proxy_whose_own_way_to_the_store_is_lost_goes_on_by_its_zone") {
-    const std::unique_ptr<simulated_client> club = deployment.connect(2, "latest", club_key);
+    const std::unique_ptr<simulated_client> club = deployment.try_connect(2, "latest", club_key);
     deployment.store.cut_hosts.insert(simulated_deployment::host_name(2));
     deployment.run_for(3 * lease);
     const std::string read = club->send("READ a");
@@ -168,7 +168,7 @@
 }
 
 TEST_CASE_FIXTURE(teams_fixture, "suspended_proxy_runs_nothing_for_a_key_that_was_taken_away_meanwhile") {
-    const std::unique_ptr<simulated_client> club = deployment.connect(0, "latest", club_key);
+    const std::unique_ptr<simulated_client> club = deployment.try_connect(0, "latest", club_key);
     deployment.run_for(1s);
     deployment.clock.freeze(simulated_deployment::host_name(0));
     take_club_key_away();
@@ -187,18 +187,18 @@
     deployment.start(0);
     deployment.run_for(2s);
     // It has the configuration from another proxy, with the age that this one states.
-    const std::unique_ptr<simulated_client> early = deployment.connect(0, "latest", club_key);
+    const std::unique_ptr<simulated_client> early = deployment.try_connect(0, "latest", club_key);
     CHECK(early != nullptr);
     deployment.run_for(lease);
-    CHECK(deployment.connect(0, "latest", club_key) == nullptr);
+    CHECK(deployment.try_connect(0, "latest", club_key) == nullptr);
     CHECK(deployment.last_refusal == statement_outcome::busy);
     deployment.store.is_down = false;
     deployment.run_for(4s);
-    CHECK(deployment.connect(0, "latest", club_key) != nullptr);
+    CHECK(deployment.try_connect(0, "latest", club_key) != nullptr);
 }
 
 TEST_CASE_FIXTURE(teams_fixture, "restored_store_does_not_bring_a_key_back") {
-    const std::unique_ptr<simulated_client> club = deployment.connect(0, "latest", club_key);
+    const std::unique_ptr<simulated_client> club = deployment.try_connect(0, "latest", club_key);
     const std::shared_ptr<const simulated_store::copy> before = deployment.store.take_copy();
     take_club_key_away();
     deployment.run_for(2s);
@@ -207,19 +207,19 @@
     const std::string read = club->send("READ a");
     deployment.run_for(300ms);
     CHECK_FALSE(has_run(read));
-    CHECK(deployment.connect(0, "latest", club_key) == nullptr);
+    CHECK(deployment.try_connect(0, "latest", club_key) == nullptr);
 }
 
 TEST_CASE_FIXTURE(teams_fixture, "configuration_without_teams_opens_no_route") {
     deployment.teams.reset();
     deployment.configure(++version);
     deployment.run_for(2s);
-    CHECK(deployment.connect(0, "latest") == nullptr);
+    CHECK(deployment.try_connect(0, "latest") == nullptr);
     CHECK(deployment.last_refusal == statement_outcome::denied);
 }
 
 TEST_CASE_FIXTURE(teams_fixture, "key_that_moves_to_another_team_runs_on_connections_of_that_team") {
-    const std::unique_ptr<simulated_client> club = deployment.connect(0, "latest", club_key);
+    const std::unique_ptr<simulated_client> club = deployment.try_connect(0, "latest", club_key);
     const std::string before = club->send("WRITE a 1");
     deployment.run_for(300ms);
     deployment.teams = {{"club", {}}, {"riders", {club_key}}};
@@ -232,9 +232,9 @@
 }
 
 TEST_CASE_FIXTURE(teams_fixture, "key_appears_in_no_log_line") {
-    const std::unique_ptr<simulated_client> club = deployment.connect(0, "latest", club_key);
+    const std::unique_ptr<simulated_client> club = deployment.try_connect(0, "latest", club_key);
     club->send("WRITE a 1");
-    CHECK(deployment.connect(1, "latest", "k-nobody") == nullptr);
+    CHECK(deployment.try_connect(1, "latest", "k-nobody") == nullptr);
     deployment.run_for(1s);
     take_club_key_away();
     deployment.run_for(2s);
