--- a/tests/admission/statement_queue_tests.cpp
+++ b/tests/admission/statement_queue_tests.cpp
@@ -212,6 +212,7 @@
 // Guards against statements that are held although it is known that they can't be served.
 TEST_CASE_FIXTURE(statement_queue_fixture, "find_unservable_names_only_those_that_start_too_late") {
     std::vector<statement_queue::entry_id> ids;
+    ids.reserve(100);
     for (int count = 0; count < 100; ++count) {
         ids.push_back(push("", readers, 300ms, 805ms));
     }
