review: case 9, no failover at a store whose revisions start high

With store revisions of 2^40 or more nobody holds the failover duty, so a leaving primary is not replaced and statements reach it later than DrainMs after its announcement (rule DRAIN).

--- a/review/deployment_2.cpp
+++ b/review/deployment_2.cpp
@@ -89,7 +89,8 @@
 
 } // namespace
 
-page_store::page_store(event_loop& loop) : loop_(loop), server_(evhttp_new(loop.native())) {
+page_store::page_store(event_loop& loop, std::uint64_t first_revision)
+    : loop_(loop), server_(evhttp_new(loop.native())), revision_(first_revision) {
     evhttp_set_allowed_methods(server_,
                                EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
     evhttp_set_gencb(
@@ -288,8 +289,11 @@
     }
 }
 
-small_deployment::small_deployment()
-    : flusher_(loop_), model_(model_settings()), instances_(flusher_, model_, group), store_(loop_) {
+small_deployment::small_deployment(std::uint64_t first_revision)
+    : flusher_(loop_),
+      model_(model_settings()),
+      instances_(flusher_, model_, group),
+      store_(loop_, first_revision) {
     const char* record = std::getenv("RECORD");
     record_.open(record == nullptr ? "record.txt" : record);
 }
@@ -319,6 +323,12 @@
     model_.now = &boot_now;
     model_.on_run = [this](const standins::model_command& command, const standins::model_connection& from) {
         note(fmt::format("{} runs at {}", command.id, from.instance));
+        const auto drained = drained_at_.find(from.instance);
+        if (drained != drained_at_.end() && boot_now() > drained->second) {
+            ++late_runs_;
+            note(fmt::format("{} has reached {} {} ms too late", command.id, from.instance,
+                             to_milliseconds(boot_now() - drained->second)));
+        }
     };
     model_.on_read = [this](const standins::model_command& command, const standins::model_connection& from,
                             const std::vector<standins::model_entry>& log) {
@@ -337,10 +347,7 @@
     admin_port_ = free_port();
     peer_port_ = free_port();
     for (const char* id : {"i-1", "i-2", "i-3"}) {
-        model_.add(id);
-        born_[id] = 1'780'000'000'000;
-        instance_ports_[id] = instances_.listen(id);
-        list(id);
+        add_instance(id);
     }
     model_.start();
     write_configuration();
@@ -396,7 +403,7 @@
                   {"Zone", "a"},
                   {"Version", "v1"},
                   {"Capacity", 4},
-                  {"State", "ready"},
+                  {"State", drained_at_.count(id) > 0 ? "draining" : "ready"},
                   {"WarmupLeftMs", 0},
                   {"Sequence", 1},
                   {"born", born_[id]},
@@ -469,6 +476,27 @@
     });
 }
 
+void small_deployment::add_instance(const std::string& id) {
+    note(id + " starts");
+    model_.add(id);
+    born_[id] = 1'780'000'000'000;
+    instance_ports_[id] = instances_.listen(id);
+    list(id);
+}
+
+void small_deployment::drain_instance(const std::string& id, duration bound, duration end) {
+    drained_at_[id] = boot_now() + bound;
+    list(id);
+    note("the store has acknowledged that " + id + " leaves");
+    loop_.run_after(end, [this, id] {
+        note(id + " ends");
+        is_lost_[id] = true;
+        model_.set_up(id, false);
+        instances_.reset(id);
+        store_.erase("servers", id);
+    });
+}
+
 void small_deployment::restart_empty(const std::string& id, duration down) {
     note(id + " ends");
     model_.set_up(id, false);
--- a/review/deployment_2.h
+++ b/review/deployment_2.h
@@ -27,7 +27,8 @@
 /// changes, lists and watches, without any header that the pages do not name.
 class page_store {
 public:
-    explicit page_store(event_loop& loop);
+    /// `first_revision` is the revision that the counter starts with.
+    page_store(event_loop& loop, std::uint64_t first_revision);
     ~page_store();
     page_store(const page_store&) = delete;
     page_store& operator=(const page_store&) = delete;
@@ -64,7 +65,7 @@
     evhttp* server_;
     std::map<std::pair<std::string, std::string>, nlohmann::json> objects_;
     std::vector<std::pair<std::string, nlohmann::json>> history_;
-    std::uint64_t revision_ = 1;
+    std::uint64_t revision_;
     std::vector<waiting_watch> watches_;
     std::uint64_t last_watch_ = 0;
 };
@@ -100,7 +101,7 @@
 /// clients that write and read.
 class small_deployment {
 public:
-    small_deployment();
+    explicit small_deployment(std::uint64_t first_revision = 1);
     ~small_deployment();
     small_deployment(const small_deployment&) = delete;
     small_deployment& operator=(const small_deployment&) = delete;
@@ -111,6 +112,13 @@
     void play(duration length);
     void kill_daemons();
     void start_daemons();
+    /// Adds an empty replica.
+    void add_instance(const std::string& id);
+    /// The instance announces that it leaves, and ends after a time. Statements that reach it later than
+    /// `bound` after the announcement are counted.
+    void drain_instance(const std::string& id, duration bound, duration end);
+    /// Statements of clients that have run at an instance that had announced its leaving too long before.
+    [[nodiscard]] std::size_t late_runs() const { return late_runs_; }
     /// The instance ends and starts again under its id after a time. It then holds and knows nothing of
     /// before, and writes its entry as it starts.
     void restart_empty(const std::string& id, duration down);
@@ -158,6 +166,9 @@
     std::map<std::string, span_counts*> open_counts_;
     span_counts* counts_ = nullptr;
     std::map<std::string, std::uint64_t> born_;
+    /// Times after which no statement may reach instances that leave.
+    std::map<std::string, time_point> drained_at_;
+    std::size_t late_runs_ = 0;
     /// Reads under way on the route of type `primary`, with the time at which they were sent.
     std::map<std::string, time_point> latest_reads_;
     std::map<std::string, std::string> stale_;
