--- a/review/deployment_2.cpp
+++ b/review/deployment_2.cpp
@@ -37,9 +37,6 @@
 constexpr std::size_t clients_per_machine = 3;
 /// Commits that a read is compared with, the newest first.
 constexpr std::size_t compared_commits = 100;
-/// Interval at which instances write to the store, and the intervals of silence until an entry goes.
-constexpr duration heartbeat = 1200ms;
-constexpr int lapse_beats = 3;
 const std::string group = "orders";
 /// Program of the deploy file's role.
 const std::string program = "target/gentianhill-edge";
@@ -465,17 +462,6 @@
     }
 }
 
-void small_deployment::lose_instance(const std::string& id) {
-    note("loses " + id + " for good");
-    is_lost_[id] = true;
-    model_.set_up(id, false);
-    instances_.reset(id);
-    loop_.run_after(heartbeat * lapse_beats, [this, id] {
-        note("store: the entry of " + id + " is removed");
-        store_.erase("servers", id);
-    });
-}
-
 void small_deployment::add_instance(const std::string& id) {
     note(id + " starts");
     model_.add(id);
--- a/review/deployment_2.h
+++ b/review/deployment_2.h
@@ -127,8 +127,6 @@
     [[nodiscard]] std::size_t stale_reads() const { return stale_answered_; }
     /// One of so many statements writes.
     void set_writes_one_in(std::uint64_t count) { writes_one_in_ = count; }
-    /// The instance ends for good; its entry goes after three heartbeat intervals.
-    void lose_instance(const std::string& id);
     [[nodiscard]] std::string leader() const { return model_.leader(); }
     /// Statements that clients send from now on are counted here.
     void count_into(span_counts& counts) { counts_ = &counts; }
