relay: log size and time of large answers, and what had arrived of one that timed out

On-call engineers saw source_failed ... timed_out for a daemon that was healthy and could not tell an answer that was still arriving from a silent source, nor what a large configuration costs a daemon. A time-out now states the bytes received; answers of 64 KiB or more log their size, transfer, serializing and parsing time on both sides; configuration_applied logs the time to read and to apply. No decision changes.

--- a/gentianhill/http2/client.cpp
+++ b/gentianhill/http2/client.cpp
@@ -314,10 +314,14 @@
             nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, stream_id, NGHTTP2_CANCEL);
             flush();
         }
-        finish(id, std::nullopt, sent ? error_code::timed_out : error_code::connect_failed);
+        // Tells an answer that was still arriving from a server that is silent.
+        const std::string state = fmt::format("{} bytes received", found->second.received.body.size());
+        finish(id, std::nullopt, sent ? error_code::timed_out : error_code::connect_failed,
+               sent ? state : "");
     }
 
-    void finish(std::uint64_t id, std::optional<response> reply, error_code code) {
+    void finish(std::uint64_t id, std::optional<response> reply, error_code code,
+                const std::string& detail = {}) {
         const std::map<std::uint64_t, exchange>::iterator found = exchanges_.find(id);
         if (found == exchanges_.end()) {
             return;
@@ -327,7 +331,7 @@
         exchanges_.erase(found);
         error reason;
         if (code != error_code::none) {
-            reason = error{code, "server", settings_.server.to_string(), {}};
+            reason = error{code, "server", settings_.server.to_string(), detail};
         }
         on_result(std::move(reply), reason);
     }
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -568,10 +568,12 @@
 }
 
 void proxy::on_configuration_object(const stored_object& object) {
+    const time_point started_at = ports_.now();
     std::optional<proxy_configuration> configuration = ports_.read_configuration(object);
     if (!configuration) {
         return;
     }
+    const time_point read_at = ports_.now();
     const std::uint64_t version = configuration->version;
     const std::size_t routes = configuration->routes.size();
     if (configuration->teams == nullptr && routes_.current() && routes_.current()->teams != nullptr) {
@@ -580,14 +582,18 @@
     }
     const std::size_t teams = configuration->teams != nullptr ? configuration->teams->teams().size() : 0;
     const bool applied = routes_.apply(std::move(*configuration));
+    if (applied) {
+        configuration_in_effect_ = object;
+        apply_group_limits();
+    }
     log_.write(log_level::info, "proxy", applied ? "configuration_applied" : "configuration_ignored",
                {{"version", version},
                 {"in_effect", routes_.current()->version},
                 {"routes", routes},
-                {"teams", teams}});
+                {"teams", teams},
+                {"read_us", (read_at - started_at).count()},
+                {"apply_us", (ports_.now() - read_at).count()}});
     if (applied) {
-        configuration_in_effect_ = object;
-        apply_group_limits();
         if (on_configuration_applied) {
             on_configuration_applied();
         }
--- a/gentianhill/relay/relay_transport.cpp
+++ b/gentianhill/relay/relay_transport.cpp
@@ -27,6 +27,8 @@
 /// Answers to all but requests for state are awaited for milliseconds only, so a few missing ones in a row do
 /// not show that the connection is dead.
 constexpr unsigned silent_short_timeouts = 3;
+/// Answers of this size, in bytes, are logged with the time that they took.
+constexpr std::size_t logged_answer_bytes = 64U << 10U;
 
 http2::server_settings server_settings(const relay_transport_settings& settings) {
     http2::server_settings result;
@@ -153,17 +155,45 @@
         return;
     }
     on_request(*kind, *message,
-               [respond](const std::optional<nlohmann::json>& answered, const error& refused) {
-                   respond(answered ? http2::response{status_ok, dump(*answered)}
+               [this, kind, respond](const std::optional<nlohmann::json>& answered, const error& refused) {
+                   respond(answered ? http2::response{status_ok, serialize(*kind, *answered)}
                                     : refusal(status_bad_request, refused));
                });
 }
 
+std::string relay_transport::serialize(relay_request_kind kind, const nlohmann::json& answered) {
+    const time_point started_at = event_loop::now();
+    std::string text = dump(answered);
+    if (text.size() >= logged_answer_bytes) {
+        log_.write(log_level::info, "relay", "large_answer_sent",
+                   {{"kind", to_string(kind)},
+                    {"bytes", text.size()},
+                    {"serialize_us", (event_loop::now() - started_at).count()}});
+    }
+    return text;
+}
+
+std::optional<nlohmann::json> relay_transport::read_answer(relay_request_kind kind, const endpoint& server,
+                                                           time_point asked_at, const std::string& text,
+                                                           error& reason) {
+    const time_point arrived_at = event_loop::now();
+    std::optional<nlohmann::json> answered = parse_json(text, settings_.max_answer_bytes, reason);
+    if (text.size() >= logged_answer_bytes) {
+        log_.write(log_level::info, "relay", "large_answer_received",
+                   {{"kind", to_string(kind)},
+                    {"server", server.to_string()},
+                    {"bytes", text.size()},
+                    {"ms", to_milliseconds(arrived_at - asked_at)},
+                    {"parse_us", (event_loop::now() - arrived_at).count()}});
+    }
+    return answered;
+}
+
 void relay_transport::ask(const endpoint& server, relay_request_kind kind, const nlohmann::json& message,
                           duration timeout, relay_answer_handler done) {
     link_to(server, path_of(kind))
         .send({"POST", path_of(kind), dump(message)}, timeout,
-              [limit = settings_.max_answer_bytes,
+              [this, kind, server, asked_at = event_loop::now(),
                done = std::move(done)](const std::optional<http2::response>& reply, const error& reason) {
                   if (!reply) {
                       done(std::nullopt, reason);
@@ -174,7 +204,8 @@
                       return;
                   }
                   error invalid;
-                  const std::optional<nlohmann::json> body = parse_json(reply->body, limit, invalid);
+                  const std::optional<nlohmann::json> body =
+                      read_answer(kind, server, asked_at, reply->body, invalid);
                   done(body, invalid);
               });
 }
--- a/gentianhill/relay/relay_transport.h
+++ b/gentianhill/relay/relay_transport.h
@@ -74,6 +74,12 @@
     void answer(const http2::request& received, const http2::server::responder& respond);
     void ask(const endpoint& server, relay_request_kind kind, const nlohmann::json& message, duration timeout,
              relay_answer_handler done);
+    /// Text of an answer; a large one is logged.
+    [[nodiscard]] std::string serialize(relay_request_kind kind, const nlohmann::json& answered);
+    /// Parses an answer; a large one is logged.
+    [[nodiscard]] std::optional<nlohmann::json> read_answer(relay_request_kind kind, const endpoint& server,
+                                                            time_point asked_at, const std::string& text,
+                                                            error& reason);
     void answer_hand_on(const http2::request& received, const http2::server::responder& respond);
     void hand_on(const endpoint& server, std::string message, duration timeout, hand_on_handler done);
     [[nodiscard]] http2::reconnecting_client& link_to(const endpoint& server, const std::string& path);
