--- a/tests/relay/simulated_fleet.cpp
+++ b/tests/relay/simulated_fleet.cpp
@@ -52,6 +52,26 @@
     store.write(store_collection::configuration, "main", {{"version", version}});
 }
 
+void simulated_fleet::configure_routes(std::uint64_t version, std::size_t routes) {
+    nlohmann::json listed = nlohmann::json::array();
+    for (std::size_t index = 0; index < routes; ++index) {
+        const std::uint64_t weight = rendezvous_weight("route", std::to_string(index));
+        const std::uint64_t timeout_ms = index == version % routes ? 1000 + version : 1000;
+        listed.push_back({{"name", fmt::format("r-{:x}", weight % 0xffffff)},
+                          {"database", fmt::format("db-{:x}", weight >> 32U)},
+                          {"path", "/"},
+                          {"consistency", "read_your_writes"},
+                          {"timeout_ms", timeout_ms},
+                          {"target_ms", 250},
+                          {"priority", 1},
+                          {"group", fmt::format("group-{}", weight % 8)},
+                          {"max_attempts", 2},
+                          {"max_staleness_ms", 2500},
+                          {"public", false}});
+    }
+    store.write(store_collection::configuration, "main", {{"version", version}, {"routes", listed}});
+}
+
 void simulated_fleet::start(const std::string& name) {
     fleet_daemon& daemon = daemons_.at(name);
     daemon.log = std::make_unique<logger>();
@@ -131,6 +151,19 @@
     clock.call_after(tick_interval, name, [this, name, incarnation] { tick(name, incarnation); });
 }
 
+duration simulated_fleet::transmit(const std::string& from, const nlohmann::json& message) {
+    if (link_bytes_per_s == 0) {
+        return duration(0);
+    }
+    const std::size_t bytes = message.dump().size();
+    bytes_sent[from] += bytes;
+    const double seconds = static_cast<double>(bytes) / link_bytes_per_s;
+    time_point& free_at = link_free_at_[from];
+    free_at = std::max(free_at, clock.now()) +
+              std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    return free_at - clock.now();
+}
+
 void simulated_fleet::ask(const std::string& from, const endpoint& server, const nlohmann::json& message,
                           duration timeout, const relay_answer_handler& done) {
     const std::map<std::string, std::string>::const_iterator found =
@@ -151,7 +184,7 @@
         return;
     }
     const std::string to = found->second;
-    clock.call_after(in_zone_delay, to, [this, to, message, finish] {
+    clock.call_after(in_zone_delay + transmit(from, message), to, [this, to, message, finish] {
         fleet_daemon& target = daemons_.at(to);
         if (cut_hosts.count(to) > 0) {
             return;
@@ -169,7 +202,7 @@
                 if (sent && corrupt.count(to) > 0) {
                     corrupt.at(to)(*sent);
                 }
-                finish(in_zone_delay + slowness[to], sent, reason);
+                finish(in_zone_delay + slowness[to] + transmit(to, sent.value_or(nullptr)), sent, reason);
             });
     });
 }
@@ -226,6 +259,17 @@
     return daemons_.at(name).watches.at(1)->replica().objects().count(instance) > 0;
 }
 
+std::uint64_t simulated_fleet::failed_requests() const {
+    std::uint64_t count = 0;
+    for (const std::map<std::string, fleet_daemon>::value_type& entry : daemons_) {
+        if (entry.second.registry != nullptr) {
+            count +=
+                entry.second.registry->add_counter("gentianhill_relay_requests_failed_total", "").value();
+        }
+    }
+    return count;
+}
+
 std::size_t simulated_fleet::watchers() const {
     std::size_t count = 0;
     for (const std::map<std::string, fleet_daemon>::value_type& entry : daemons_) {
--- a/tests/relay/simulated_fleet.h
+++ b/tests/relay/simulated_fleet.h
@@ -29,6 +29,9 @@
     void run_for(duration length) { clock.run_for(length); }
     /// Writes a configuration as the operator does.
     void configure(std::uint64_t version);
+    /// Writes a configuration of `routes` routes, about 200 bytes each, as the operator does. Each version
+    /// changes one of them.
+    void configure_routes(std::uint64_t version, std::size_t routes);
     /// Ends a daemon without notice.
     void kill(const std::string& name);
     /// Starts a daemon under its name.
@@ -53,6 +56,8 @@
     }
     /// Number of daemons that watch the store.
     [[nodiscard]] std::size_t watchers() const;
+    /// Requests between the daemons that run which got no valid answer.
+    [[nodiscard]] std::uint64_t failed_requests() const;
 
     simulated_clock clock;
     simulated_store store{clock};
@@ -62,6 +67,10 @@
     std::map<std::string, std::function<void(nlohmann::json&)>> corrupt;
     /// Delay of the answers of a host, beyond that of the network.
     std::map<std::string, duration> slowness;
+    /// Rate of the link of each host, in bytes per second; 0 for links that delay nothing.
+    double link_bytes_per_s = 0;
+    /// Bytes that each host has sent to other daemons while its link has a rate.
+    std::map<std::string, std::uint64_t> bytes_sent;
     /// Versions that any daemon has gone back to, which must not happen.
     std::vector<std::string> regressions;
 
@@ -80,6 +89,8 @@
     };
 
     [[nodiscard]] static endpoint address_of(const std::string& name);
+    /// Time until the last byte of a message has left the link of a host, behind those sent before it.
+    [[nodiscard]] duration transmit(const std::string& from, const nlohmann::json& message);
     void ask(const std::string& from, const endpoint& server, const nlohmann::json& message, duration timeout,
              const relay_answer_handler& done);
     void tick(const std::string& name, std::uint64_t incarnation);
@@ -87,6 +98,7 @@
 
     std::map<std::string, fleet_daemon> daemons_;
     std::map<std::string, std::string> names_by_address_;
+    std::map<std::string, time_point> link_free_at_;
     std::mt19937_64 random_{1};
 };
 
