metadata: the history of a replica holds the last change of each object only

Callers saw 404 for routes that had been added (CONFIG). The history also kept up to 1,000 copies of the object, bounded by count, not by size. Ruled out: receivers that need the versions in between; they apply an object by its revision, and the latest includes what came before. Change: a later change of an object replaces the earlier one, and the content is that of the object itself, not a copy. The new test fails on the parent: a burst of changes of one object drops those of others out of the history.

--- a/gentianhill/metadata/collection_replica.cpp
+++ b/gentianhill/metadata/collection_replica.cpp
@@ -1,5 +1,7 @@
 #include "gentianhill/metadata/collection_replica.h"
 
+#include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace gentianhill {
@@ -66,7 +68,19 @@
 }
 
 void collection_replica::remember(const store_event& event, std::uint64_t update_revision) {
-    history_.push_back({update_revision, event});
+    // A change that is followed by another one of the same object is of no use to anybody.
+    const auto former = std::find_if(history_.begin(), history_.end(), [&event](const past_change& change) {
+        return change.name == event.object.name;
+    });
+    if (former != history_.end()) {
+        history_.erase(former);
+    }
+    std::optional<stored_object> deleted;
+    if (event.deleted) {
+        deleted = event.object;
+        deleted->content = nullptr;
+    }
+    history_.push_back({update_revision, event.object.name, std::move(deleted)});
     while (history_.size() > settings_.max_history) {
         history_from_ = history_.front().update_revision;
         history_.pop_front();
@@ -93,8 +107,15 @@
     }
     std::vector<store_event> changes;
     for (const past_change& change : history_) {
-        if (change.update_revision > version.revision) {
-            changes.push_back(change.event);
+        if (change.update_revision <= version.revision) {
+            continue;
+        }
+        if (change.deleted) {
+            changes.push_back({*change.deleted, true});
+        } else {
+            const auto held = objects_.find(change.name);
+            assert(held != objects_.end());
+            changes.push_back({held->second, false});
         }
     }
     return changes;
--- a/gentianhill/metadata/collection_replica.h
+++ b/gentianhill/metadata/collection_replica.h
@@ -16,8 +16,8 @@
 
 /// Limits of a replica.
 struct collection_replica_settings {
-    /// Changes kept for daemons that ask for those since a revision; older ones are answered with the whole
-    /// collection.
+    /// Objects of which the last change is kept for daemons that ask for those since a revision; older
+    /// revisions are answered with the whole collection.
     std::size_t max_history = 1000;
 };
 
@@ -50,17 +50,20 @@
     [[nodiscard]] const std::map<std::string, stored_object, std::less<>>& objects() const {
         return objects_;
     }
-    /// Changes after `version`; nothing when they are not all known any more or the eras differ. May repeat
-    /// changes at or before `version`, which the receiver ignores.
+    /// Changes after `version`, the last one of each object; nothing when they are not all known any more or
+    /// the eras differ. May repeat changes at or before `version`, which the receiver ignores.
     [[nodiscard]] std::optional<std::vector<store_event>> changes_since(store_version version) const;
     /// True when the state is newer than `version` and contains changes since, or they are not all known.
     [[nodiscard]] bool has_changes_since(store_version version) const;
 
 private:
+    /// Last change of an object. The content of an object that exists is that of `objects_`.
     struct past_change {
         /// Revision of the update that contained the change.
         std::uint64_t update_revision = 0;
-        store_event event;
+        std::string name;
+        /// Deleted object without its content; nothing for an object that exists.
+        std::optional<stored_object> deleted;
     };
 
     bool apply_event(const store_event& event);
--- a/tests/metadata/collection_replica_tests.cpp
+++ b/tests/metadata/collection_replica_tests.cpp
@@ -81,6 +81,20 @@
     CHECK(replica.changes_since(version(11))->size() == 3);
 }
 
+// Guards against an answer that holds each version of an object of a burst, and a history that keeps them.
+TEST_CASE_FIXTURE(replica_fixture, "collection_replica_changes_since_hold_one_change_of_each_object") {
+    for (std::uint64_t revision = 11; revision <= 20; ++revision) {
+        replica.apply(version(revision - 1), {change("a", revision)}, revision);
+    }
+    replica.apply(version(20), {deletion("b", 21)}, 21);
+    const std::optional<std::vector<store_event>> changes = replica.changes_since(version(10));
+    REQUIRE(changes);
+    REQUIRE(changes->size() == 2);
+    CHECK(changes->front().object.revision == 20);
+    CHECK(changes->back().deleted);
+    CHECK(replica.changes_since(version(20))->size() == 1);
+}
+
 // Guards against a state of a wrong revision that nothing can replace.
 TEST_CASE_FIXTURE(replica_fixture, "collection_replica_discarded_state_is_replaced_by_an_older_list") {
     replica.discard();
