relay: large contents are sent apart from state answers, compressed against a version that the receiver has

Cause: the state answers between daemons carried the whole configuration, 274 KB, for each change of one route and for each receiver, under a timeout for the whole answer that does not grow with it. Change: an object with a large content is named in the answer by the digest of its text. A receiver that lacks the text asks for it in parts; it is compressed (libzstd), against a text that both have where there is one, once for all receivers. A sender serves a few receivers at a time; a transfer fails when its sender is silent, not when it is slow, and goes on with another sender. The digest is checked before anything is applied, so parts of two versions or two eras can't be mixed. Age, reachability and all other collections no longer wait for it. Daemons of the former version neither state that they take references nor send them, and exchange whole contents as before. Weighed: structural differences of the JSON (an own format, and arrays by position cost as much as before), longer time-outs (the bytes stay), followers at the store (priced, and its link to each host is the same one), a tree (depth; not needed at 20 KB a receiver).

--- /dev/null
+++ b/gentianhill/content/content_codec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "gentianhill/core/error.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gentianhill {
+
+/// Compresses a text (Zstandard). With a base that is not empty, parts that the base holds too cost next to
+/// nothing, and decompressing needs the same base. Errors: too_large.
+[[nodiscard]] std::optional<std::string> compress_content(std::string_view text, std::string_view base,
+                                                          error& reason);
+
+/// Reverses compress_content() for a text of `size` bytes. Errors: bad_value for bytes that are not of such a
+/// text or need another base.
+[[nodiscard]] std::optional<std::string> decompress_content(std::string_view bytes, std::string_view base,
+                                                            std::size_t size, error& reason);
+
+} // namespace gentianhill
--- a/gentianhill/metadata/collection_replica.cpp
+++ b/gentianhill/metadata/collection_replica.cpp
@@ -101,7 +101,8 @@
            (!history_.empty() && history_.back().update_revision > version.revision);
 }
 
-std::optional<std::vector<store_event>> collection_replica::changes_since(store_version version) const {
+std::optional<std::vector<store_event>> collection_replica::changes_since(store_version version,
+                                                                          const copy_function& copy) const {
     if (!has_state_ || version.era != version_.era || version.revision < history_from_) {
         return std::nullopt;
     }
@@ -115,7 +116,7 @@
         } else {
             const auto held = objects_.find(change.name);
             assert(held != objects_.end());
-            changes.push_back({held->second, false});
+            changes.push_back({copy(held->second), false});
         }
     }
     return changes;
--- a/gentianhill/metadata/collection_replica.h
+++ b/gentianhill/metadata/collection_replica.h
@@ -50,9 +50,13 @@
     [[nodiscard]] const std::map<std::string, stored_object, std::less<>>& objects() const {
         return objects_;
     }
+    /// Copies an object for an answer, with or without its content.
+    using copy_function = std::function<stored_object(const stored_object&)>;
     /// Changes after `version`, the last one of each object; nothing when they are not all known any more or
     /// the eras differ. May repeat changes at or before `version`, which the receiver ignores.
-    [[nodiscard]] std::optional<std::vector<store_event>> changes_since(store_version version) const;
+    [[nodiscard]] std::optional<std::vector<store_event>> changes_since(
+        store_version version,
+        const copy_function& copy = [](const stored_object& object) { return object; }) const;
     /// True when the state is newer than `version` and contains changes since, or they are not all known.
     [[nodiscard]] bool has_changes_since(store_version version) const;
 
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -86,6 +86,19 @@
                  });
         };
     }
+    if (ports.relay.fetch_content) {
+        ports.relay.fetch_content =
+            [alive, call = ports.relay.fetch_content](const endpoint& server, std::string message,
+                                                      duration timeout, content_answer_handler done) {
+                call(server, std::move(message), timeout,
+                     [alive, done = std::move(done)](const std::optional<std::string>& answer,
+                                                     const error& reason) {
+                         if (!alive.expired()) {
+                             done(answer, reason);
+                         }
+                     });
+            };
+    }
     ports.call_after = [alive, call = ports.call_after](duration delay, std::function<void()> action) {
         call(delay, guarded(alive, std::move(action)));
     };
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -113,6 +113,10 @@
     void on_relay_request(relay_request_kind kind, const nlohmann::json& message,
                           relay_answer_handler respond);
     /// Answers a message about a statement that another daemon hands on.
+    /// Answers a request of another daemon for a part of a content.
+    void on_content_request(std::string_view message, content_answer_handler respond) {
+        relay_.on_content_request(message, std::move(respond));
+    }
     void on_hand_on(std::string_view message, const hand_on_handler& respond) {
         host_.on_message(message, respond);
     }
--- a/gentianhill/relay/relay_messages.cpp
+++ b/gentianhill/relay/relay_messages.cpp
@@ -25,6 +25,8 @@
 /// Read points and members in one answer.
 constexpr std::size_t max_points = 16;
 constexpr std::size_t max_members = 64;
+constexpr std::size_t digest_length = 32;
+constexpr std::int64_t max_content_bytes = 64LL << 20U;
 constexpr std::int64_t max_revision = std::numeric_limits<std::int64_t>::max();
 /// Longest duration in a message; a longer age is sent as this one.
 constexpr duration max_duration = std::chrono::hours(24);
@@ -70,8 +72,15 @@
     return versions;
 }
 
-nlohmann::json object_to_json(const stored_object& object) {
-    return {{"name", object.name}, {"revision", object.revision}, {"content", object.content}};
+nlohmann::json object_to_json(const stored_object& object, const content_reference* reference) {
+    nlohmann::json value{{"name", object.name}, {"revision", object.revision}};
+    if (reference != nullptr) {
+        value["content_digest"] = to_string(reference->digest);
+        value["content_bytes"] = reference->bytes;
+    } else {
+        value["content"] = object.content;
+    }
+    return value;
 }
 
 stored_object read_object(object_reader& reader) {
@@ -82,12 +91,32 @@
     return object;
 }
 
+/// Reference to the content of an object; nothing when the message holds the content.
+std::optional<content_reference> read_reference(object_reader& reader) {
+    const std::optional<std::string> text = reader.optional_text("content_digest", digest_length);
+    if (!text) {
+        return std::nullopt;
+    }
+    const std::optional<content_digest> digest = read_digest(*text);
+    if (!digest) {
+        reader.fail(error_code::bad_value, "content_digest", *text, "32 hexadecimal digits");
+        return std::nullopt;
+    }
+    return content_reference{*digest,
+                             static_cast<std::size_t>(reader.integer("content_bytes", 0, max_content_bytes))};
+}
+
+const content_reference* find_reference(const collection_update& update, const std::string& name) {
+    const auto found = update.references.find(name);
+    return found == update.references.end() ? nullptr : &found->second;
+}
+
 nlohmann::json update_to_json(const collection_update& update) {
     nlohmann::json value{{"era", update.version.era}, {"revision", update.version.revision}};
     if (!update.from) {
         nlohmann::json objects = nlohmann::json::array();
         for (const stored_object& object : update.objects) {
-            objects.push_back(object_to_json(object));
+            objects.push_back(object_to_json(object, find_reference(update, object.name)));
         }
         value["objects"] = std::move(objects);
         return value;
@@ -95,7 +124,7 @@
     value["from"] = *update.from;
     nlohmann::json events = nlohmann::json::array();
     for (const store_event& event : update.events) {
-        nlohmann::json entry = object_to_json(event.object);
+        nlohmann::json entry = object_to_json(event.object, find_reference(update, event.object.name));
         if (event.deleted) {
             entry["deleted"] = true;
         }
@@ -122,6 +151,9 @@
                             reason);
         stored_object object = read_object(entry);
         object.era = update.version.era;
+        if (const std::optional<content_reference> reference = read_reference(entry)) {
+            update.references.insert_or_assign(object.name, *reference);
+        }
         if (from) {
             update.events.push_back({std::move(object), entry.boolean("deleted", false)});
         } else {
@@ -151,6 +183,9 @@
     if (configuration_version) {
         value["configuration_version"] = *configuration_version;
     }
+    if (takes_references) {
+        value["takes_references"] = true;
+    }
     return value;
 }
 
@@ -166,6 +201,7 @@
     if (configuration) {
         request.configuration_version = static_cast<std::uint64_t>(*configuration);
     }
+    request.takes_references = reader.boolean("takes_references", false);
     return reader.ok() ? std::optional(std::move(request)) : std::nullopt;
 }
 
@@ -186,7 +222,8 @@
         value["updates"] = std::move(collections);
     }
     if (configuration) {
-        value["configuration"] = object_to_json(*configuration);
+        value["configuration"] =
+            object_to_json(*configuration, configuration_reference ? &*configuration_reference : nullptr);
     }
     return value;
 }
@@ -219,6 +256,7 @@
     if (reader.ok() && !configuration.is_null()) {
         object_reader object(configuration, "configuration", reason);
         answer.configuration = read_object(object);
+        answer.configuration_reference = read_reference(object);
     }
     return reader.ok() ? std::optional(std::move(answer)) : std::nullopt;
 }
--- a/gentianhill/relay/relay_messages.h
+++ b/gentianhill/relay/relay_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gentianhill/consistency/log_position.h"
+#include "gentianhill/content/content_digest.h"
 #include "gentianhill/core/error.h"
 #include "gentianhill/core/time.h"
 #include "gentianhill/metadata/metadata_store.h"
@@ -28,6 +29,8 @@
     bool with_content = true;
     /// Version of the configuration in effect at the sender, when a higher one is wanted.
     std::optional<std::uint64_t> configuration_version;
+    /// True when the answer may name the contents of large objects instead of holding them.
+    bool takes_references = false;
 
     [[nodiscard]] nlohmann::json to_json() const;
     /// Errors: those of object_reader.
@@ -43,6 +46,8 @@
     std::optional<std::uint64_t> from;
     std::vector<store_event> events;
     std::vector<stored_object> objects;
+    /// Contents that are not in the message, by the names of their objects, whose content is null.
+    std::map<std::string, content_reference> references;
 };
 
 /// Answer to a state_request.
@@ -62,6 +67,8 @@
     /// Configuration in effect, when the receiver wants it and no update holds it. It may be newer than the
     /// store's, which may have been restored from a copy.
     std::optional<stored_object> configuration;
+    /// Content of `configuration` when it is not in the message.
+    std::optional<content_reference> configuration_reference{};
     /// Time since a moment as of which the receiver's configuration is complete once it has applied this
     /// answer, when the answer was made; nothing when that is not known.
     std::optional<duration> configuration_age{};
--- a/gentianhill/relay/relay_port.h
+++ b/gentianhill/relay/relay_port.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gentianhill/content/content_sender.h"
 #include "gentianhill/core/endpoint.h"
 #include "gentianhill/core/error.h"
 #include "gentianhill/core/time.h"
@@ -49,6 +50,11 @@
     /// called once, never from within the call. Empty when this daemon talks to no others.
     std::function<void(const endpoint& server, std::string message, duration timeout, hand_on_handler done)>
         hand_on;
+    /// Sends a request for a part of a content, on connections of their own. The handler is called once,
+    /// never from within the call. Empty when this daemon talks to no others.
+    std::function<void(const endpoint& server, std::string message, duration timeout,
+                       content_answer_handler done)>
+        fetch_content;
 };
 
 } // namespace gentianhill
--- a/gentianhill/relay/relay_transport.cpp
+++ b/gentianhill/relay/relay_transport.cpp
@@ -20,6 +20,7 @@
 constexpr int status_too_large = 413;
 constexpr std::string_view path_prefix = "/relay/v1/";
 const std::string hand_on_path = "/relay/v1/statement";
+const std::string content_path = "/relay/v1/content";
 constexpr std::array<relay_request_kind, 5> all_kinds{
     relay_request_kind::state, relay_request_kind::evidence, relay_request_kind::quota_tokens,
     relay_request_kind::quota_shares, relay_request_kind::quota_holdings};
@@ -99,26 +100,31 @@
                       relay_answer_handler done) { ask(server, kind, message, timeout, std::move(done)); };
     port.hand_on = [this](const endpoint& server, std::string message, duration timeout,
                           hand_on_handler done) {
-        hand_on(server, std::move(message), timeout, std::move(done));
+        send_bytes(server, hand_on_path, std::move(message), timeout, std::move(done));
+    };
+    port.fetch_content = [this](const endpoint& server, std::string message, duration timeout,
+                                content_answer_handler done) {
+        send_bytes(server, content_path, std::move(message), timeout, std::move(done));
     };
     return port;
 }
 
-void relay_transport::answer_hand_on(const http2::request& received,
-                                     const http2::server::responder& respond) {
-    if (!on_hand_on) {
+void relay_transport::answer_bytes(
+    const std::function<void(std::string_view message, hand_on_handler respond)>& handler,
+    const http2::request& received, const http2::server::responder& respond) {
+    if (!handler) {
         respond(refusal(status_not_found, {error_code::unknown_path, "path", received.path, ""}));
         return;
     }
-    on_hand_on(received.body, [respond](const std::optional<std::string>& answered, const error& refused) {
+    handler(received.body, [respond](const std::optional<std::string>& answered, const error& refused) {
         respond(answered ? http2::response{status_ok, *answered} : refusal(status_bad_request, refused));
     });
 }
 
-void relay_transport::hand_on(const endpoint& server, std::string message, duration timeout,
-                              hand_on_handler done) {
-    link_to(server, hand_on_path)
-        .send({"POST", hand_on_path, std::move(message)}, timeout,
+void relay_transport::send_bytes(const endpoint& server, const std::string& path, std::string message,
+                                 duration timeout, hand_on_handler done) {
+    link_to(server, path)
+        .send({"POST", path, std::move(message)}, timeout,
               [done = std::move(done)](const std::optional<http2::response>& reply, const error& reason) {
                   if (reply && reply->status == status_ok) {
                       done(reply->body, {});
@@ -129,8 +135,8 @@
 }
 
 void relay_transport::answer(const http2::request& received, const http2::server::responder& respond) {
-    if (received.path == hand_on_path && received.method == "POST") {
-        answer_hand_on(received, respond);
+    if (received.method == "POST" && (received.path == hand_on_path || received.path == content_path)) {
+        answer_bytes(received.path == hand_on_path ? on_hand_on : on_content, received, respond);
         return;
     }
     const std::optional<relay_request_kind> kind = kind_of(received.path);
@@ -219,7 +225,8 @@
             path == hand_on_path ? settings_.hand_on_connect_timeout : settings_.connect_timeout;
         settings.connection.max_body_bytes = settings_.max_answer_bytes;
         settings.max_open_requests = settings_.max_open_requests;
-        const bool is_silent_at_once = path == path_of(relay_request_kind::state) || path == hand_on_path;
+        const bool is_silent_at_once =
+            path == path_of(relay_request_kind::state) || path == hand_on_path || path == content_path;
         settings.silent_timeouts = is_silent_at_once ? 1 : silent_short_timeouts;
         found.client = std::make_unique<http2::reconnecting_client>(loop_, settings, random_);
     }
--- a/gentianhill/relay/relay_transport.h
+++ b/gentianhill/relay/relay_transport.h
@@ -56,6 +56,8 @@
     request_handler on_request;
     /// Called for each message about a statement that is handed on.
     std::function<void(std::string_view message, hand_on_handler respond)> on_hand_on;
+    /// Called for each request for a part of a content.
+    std::function<void(std::string_view message, content_answer_handler respond)> on_content;
 
     /// Starts to listen. Errors: bind_failed.
     [[nodiscard]] bool listen(error& reason);
@@ -80,8 +82,12 @@
     [[nodiscard]] std::optional<nlohmann::json> read_answer(relay_request_kind kind, const endpoint& server,
                                                             time_point asked_at, const std::string& text,
                                                             error& reason);
-    void answer_hand_on(const http2::request& received, const http2::server::responder& respond);
-    void hand_on(const endpoint& server, std::string message, duration timeout, hand_on_handler done);
+    /// Answers a request whose message is no JSON.
+    static void
+    answer_bytes(const std::function<void(std::string_view message, hand_on_handler respond)>& handler,
+                 const http2::request& received, const http2::server::responder& respond);
+    void send_bytes(const endpoint& server, const std::string& path, std::string message, duration timeout,
+                    hand_on_handler done);
     [[nodiscard]] http2::reconnecting_client& link_to(const endpoint& server, const std::string& path);
     void close_idle_links();
 
--- a/gentianhill/relay/state_relay.cpp
+++ b/gentianhill/relay/state_relay.cpp
@@ -28,6 +28,7 @@
       watches_(std::move(watches)),
       port_(port),
       log_(log),
+      contents_(settings.contents, port, log, registry, directory.name()),
       selection_(settings.selection),
       polls_sent_(registry.add_counter("gentianhill_relay_requests_sent_total",
                                        "Requests for the state of the store to other daemons.")),
@@ -40,7 +41,18 @@
       watching_(registry.add_gauge("gentianhill_relay_watches_store",
                                    "1 while this daemon watches the store itself.")),
       age_ms_(registry.add_gauge("gentianhill_state_age_ms",
-                                 "Time since the store's last answer, directly or through sources.")) {}
+                                 "Time since the store's last answer, directly or through sources.")) {
+    contents_.now = [this] { return now(); };
+    contents_.on_complete = [this](const state_answer& answer, time_point asked_at) {
+        apply(answer, asked_at);
+        for (auto& [name, state] : polls_) {
+            state.next_at = std::min(state.next_at, now());
+        }
+    };
+    contents_.on_failed = [this](const endpoint& sender, const error& reason) {
+        on_contents_failed(sender, reason);
+    };
+}
 
 collection_watch* state_relay::find(store_collection collection) const {
     const auto found = std::find_if(watches_.begin(), watches_.end(), [&](const collection_watch* watch) {
@@ -103,6 +115,10 @@
     if (stopped_) {
         return;
     }
+    contents_.tick();
+    for (const collection_watch* watch : watches_) {
+        contents_.remember(watch->collection(), watch->replica());
+    }
     if (port_.ask) {
         if (knows_place()) {
             choose();
@@ -208,21 +224,22 @@
         return;
     }
     poll_state& state = polls_[name];
-    const bool is_late = state.behind_since && now() - *state.behind_since >= settings_.delivery_limit;
+    const bool is_late = !contents_.awaits_any() && state.behind_since &&
+                         now() - *state.behind_since >= settings_.delivery_limit;
     state.open = true;
     polls_sent_.add();
     port_.ask(*address, relay_request_kind::state,
               make_request(delivers(name) || is_late || lacks_state() || !is_source(name)).to_json(),
               settings_.poll_wait + settings_.poll_margin,
-              [this, name, asked_at = now(), alive = std::weak_ptr<bool>(alive_)](
+              [this, name, server = *address, asked_at = now(), alive = std::weak_ptr<bool>(alive_)](
                   const std::optional<nlohmann::json>& message, const error& reason) {
                   if (!alive.expired()) {
-                      on_poll_answer(name, asked_at, message, reason);
+                      on_poll_answer(name, server, asked_at, message, reason);
                   }
               });
 }
 
-void state_relay::on_poll_answer(const std::string& name, time_point asked_at,
+void state_relay::on_poll_answer(const std::string& name, const endpoint& server, time_point asked_at,
                                  const std::optional<nlohmann::json>& message, const error& reason) {
     poll_state& state = polls_[name];
     state.open = false;
@@ -243,11 +260,15 @@
         return;
     }
     directory_.on_heard(name);
-    apply(*answer, asked_at);
+    receive(*answer, asked_at, server);
     // The state is at least as new as the source's age says, counted from the request.
     if (is_source(name)) {
         selection_.on_answer(name, answer->store_reachable, answer->age);
         note_news(state, *answer);
+        if (contents_.awaits_any()) {
+            // The source would announce at once again what is on its way.
+            state.next_at = now() + settings_.transfer_pause;
+        }
         if (!answer->is_behind) {
             state.ahead_since.reset();
         } else if (!state.ahead_since) {
@@ -272,6 +293,23 @@
                {{"source", name}, {"reason", reason.describe()}});
 }
 
+void state_relay::receive(state_answer answer, time_point asked_at, const endpoint& sender) {
+    contents_.resolve(answer, asked_at, sender);
+    apply(answer, asked_at);
+}
+
+void state_relay::on_contents_failed(const endpoint& sender, const error& reason) {
+    if (reason.code == error_code::not_found) {
+        // It has a newer one by now, which its next answer names.
+        return;
+    }
+    for (const std::string& name : choice_.sources) {
+        if (directory_.address_of(name) == sender) {
+            fail_source(name, reason);
+        }
+    }
+}
+
 void state_relay::apply(const state_answer& answer, time_point asked_at) {
     for (const std::map<store_collection, collection_update>::value_type& entry : answer.updates) {
         collection_watch* watch = find(entry.first);
@@ -353,7 +391,7 @@
         state_request request = make_request(true);
         request.wait = duration(0);
         port_.ask(seed, relay_request_kind::state, request.to_json(), settings_.seed_interval,
-                  [this, asked_at = now(), alive = std::weak_ptr<bool>(alive_)](
+                  [this, seed, asked_at = now(), alive = std::weak_ptr<bool>(alive_)](
                       const std::optional<nlohmann::json>& message, const error&) {
                       error invalid;
                       const std::optional<state_answer> answer =
@@ -361,7 +399,7 @@
                       if (!alive.expired() && answer && answer->daemon != directory_.name()) {
                           log_.write(log_level::info, "relay", "state_from_seed",
                                      {{"seed", answer->daemon}, {"updates", answer->updates.size()}});
-                          apply(*answer, asked_at);
+                          receive(*answer, asked_at, seed);
                       }
                   });
     }
@@ -414,7 +452,7 @@
                                  {{"server", server.to_string()}, {"reason", reason.describe()}});
                       return;
                   }
-                  apply(*answer, asked_at);
+                  receive(*answer, asked_at, server);
               });
 }
 
@@ -429,6 +467,7 @@
     request.daemon = directory_.name();
     request.wait = settings_.poll_wait;
     request.with_content = with_content;
+    request.takes_references = contents_.takes_references();
     for (const collection_watch* watch : watches_) {
         if (watch->replica().has_state()) {
             request.versions.emplace(watch->collection(), watch->replica().version());
@@ -450,7 +489,36 @@
     });
 }
 
-state_answer state_relay::make_answer(const state_request& request) const {
+collection_update state_relay::make_update(const collection_watch& watch,
+                                           const std::optional<store_version>& known, bool takes_references) {
+    const collection_replica& replica = watch.replica();
+    collection_update update;
+    update.version = replica.version();
+    const collection_replica::copy_function copy = [&](const stored_object& object) {
+        if (!takes_references) {
+            return object;
+        }
+        std::optional<content_reference> reference;
+        stored_object copied = contents_.copy(watch.collection(), object, reference);
+        if (reference) {
+            update.references.emplace(object.name, *reference);
+        }
+        return copied;
+    };
+    std::optional<std::vector<store_event>> changes =
+        known ? replica.changes_since(*known, copy) : std::nullopt;
+    if (changes) {
+        update.from = known->revision;
+        update.events = std::move(*changes);
+        return update;
+    }
+    for (const auto& [name, object] : replica.objects()) {
+        update.objects.push_back(copy(object));
+    }
+    return update;
+}
+
+state_answer state_relay::make_answer(const state_request& request) {
     state_answer answer;
     answer.daemon = directory_.name();
     answer.store_reachable = is_store_reachable();
@@ -461,32 +529,23 @@
         if (!replica.has_state()) {
             continue;
         }
-        const auto known = request.versions.find(watch->collection());
-        const bool is_known = known != request.versions.end();
-        answer.is_behind = answer.is_behind || (is_known && known->second > replica.version());
-        if (!request.with_content || (is_known && known->second >= replica.version())) {
-            continue;
+        const auto found = request.versions.find(watch->collection());
+        const std::optional<store_version> known =
+            found != request.versions.end() ? std::optional(found->second) : std::nullopt;
+        answer.is_behind = answer.is_behind || (known && *known > replica.version());
+        if (request.with_content && (!known || *known < replica.version())) {
+            answer.updates.emplace(watch->collection(), make_update(*watch, known, request.takes_references));
         }
-        collection_update update;
-        update.version = replica.version();
-        const std::optional<std::vector<store_event>> changes =
-            is_known ? replica.changes_since(known->second) : std::nullopt;
-        if (changes) {
-            update.from = known->second.revision;
-            update.events = *changes;
-        } else {
-            for (const auto& object : replica.objects()) {
-                update.objects.push_back(object.second);
-            }
-        }
-        answer.updates.emplace(watch->collection(), std::move(update));
     }
     answer.configuration_age = configuration_age_for(request, answer);
     const stored_object* in_effect = configuration ? configuration() : nullptr;
     if (in_effect != nullptr && request.configuration_version &&
         *request.configuration_version < configuration_version() &&
         answer.updates.count(watches_.front()->collection()) == 0) {
-        answer.configuration = *in_effect;
+        answer.configuration =
+            request.takes_references
+                ? contents_.copy(store_collection::configuration, *in_effect, answer.configuration_reference)
+                : *in_effect;
     }
     return answer;
 }
@@ -552,8 +611,13 @@
     }
 }
 
+void state_relay::on_content_request(std::string_view message, content_answer_handler respond) {
+    contents_.on_request(message, std::move(respond));
+}
+
 void state_relay::stop() {
     stopped_ = true;
+    contents_.stop();
     for (const std::map<std::string, held_request>::value_type& held : held_) {
         held.second.respond(std::nullopt, error{error_code::draining, "daemon", directory_.name(), ""});
     }
--- a/gentianhill/relay/state_relay.h
+++ b/gentianhill/relay/state_relay.h
@@ -3,6 +3,7 @@
 #include "gentianhill/core/logger.h"
 #include "gentianhill/core/metrics.h"
 #include "gentianhill/metadata/collection_watch.h"
+#include "gentianhill/relay/content_exchange.h"
 #include "gentianhill/relay/daemon_directory.h"
 #include "gentianhill/relay/relay_messages.h"
 #include "gentianhill/relay/relay_port.h"
@@ -55,7 +56,10 @@
     /// Daemons of the own zone, and of the others, that are asked for the configuration in effect after the
     /// start and after a restore of the store.
     std::size_t configuration_peers = 2;
+    /// Pause between requests to a source while contents of its last answer are being transferred.
+    duration transfer_pause = std::chrono::milliseconds(250);
     source_selection_settings selection;
+    content_exchange_settings contents;
 };
 
 /// Keeps the replicas of the metadata store's collections current from other daemons of the zone, and serves
@@ -89,6 +93,8 @@
     void tick();
     /// Answers a state_request, at once or when there are changes.
     void on_request(const nlohmann::json& message, relay_answer_handler respond);
+    /// Answers a request for a content that an answer of this daemon has named.
+    void on_content_request(std::string_view message, content_answer_handler respond);
     /// Answers held requests as refused, so that their senders turn to other sources, and takes no more.
     void stop();
 
@@ -131,12 +137,15 @@
     /// that holds an earlier one.
     void ask_for_configuration();
     void ask_for_configuration(const endpoint& server);
-    void on_poll_answer(const std::string& name, time_point asked_at,
+    void on_poll_answer(const std::string& name, const endpoint& server, time_point asked_at,
                         const std::optional<nlohmann::json>& message, const error& reason);
     /// Counts the sender of a message that is not valid, such as one of another version, as alive.
     void note_sender(const nlohmann::json& message);
     void fail_source(const std::string& name, const error& reason);
+    /// Applies an answer of the daemon at `sender`; what lacks contents is applied when they have arrived.
+    void receive(state_answer answer, time_point asked_at, const endpoint& sender);
     void apply(const state_answer& answer, time_point asked_at);
+    void on_contents_failed(const endpoint& sender, const error& reason);
     /// Gives up a state that no healthy source has reached for long: it can't come from the store.
     void discard_if_ahead();
     /// Records whether the source has announced changes that it has not delivered.
@@ -145,7 +154,11 @@
     [[nodiscard]] state_request make_request(bool with_content) const;
     /// Adds the version of the configuration in effect, so that the answer holds a higher one.
     void want_configuration(state_request& request) const;
-    [[nodiscard]] state_answer make_answer(const state_request& request) const;
+    [[nodiscard]] state_answer make_answer(const state_request& request);
+    /// Changes of a collection since the version that the sender of a request knows, or the whole.
+    [[nodiscard]] collection_update make_update(const collection_watch& watch,
+                                                const std::optional<store_version>& known,
+                                                bool takes_references);
     /// Age of the configuration that the receiver of an answer has once it has applied that.
     [[nodiscard]] std::optional<duration> configuration_age_for(const state_request& request,
                                                                 const state_answer& answer) const;
@@ -162,6 +175,7 @@
     std::vector<collection_watch*> watches_;
     relay_port& port_;
     logger& log_;
+    content_exchange contents_;
     source_selection selection_;
     source_selection::choice choice_;
     std::map<std::string, poll_state> polls_;
--- a/tests/relay/simulated_fleet.cpp
+++ b/tests/relay/simulated_fleet.cpp
@@ -74,6 +74,7 @@
 
 void simulated_fleet::start(const std::string& name) {
     fleet_daemon& daemon = daemons_.at(name);
+    ++daemon.incarnation;
     daemon.log = std::make_unique<logger>();
     daemon.log->sink = [](std::string_view) {};
     daemon.log->now = [this] { return clock.now(); };
@@ -84,6 +85,10 @@
                                     duration timeout, const relay_answer_handler& done) {
         ask(name, server, message, timeout, done);
     };
+    daemon.port->fetch_content = [this, name](const endpoint& server, const std::string& message,
+                                              duration timeout, const content_answer_handler& done) {
+        fetch_content(name, server, message, timeout, done);
+    };
     collection_watch_settings watch;
     watch.wait = silence_limit - 1s;
     std::vector<collection_watch*> watches;
@@ -118,7 +123,7 @@
     daemon.relay->now = [this] { return clock.now(); };
     daemon.relay->random = [this] { return std::uniform_real_distribution<>(0, 1)(random_); };
     daemon.relay->start();
-    tick(name, ++daemon.incarnation);
+    tick(name, daemon.incarnation);
 }
 
 void simulated_fleet::kill(const std::string& name) {
@@ -151,12 +156,11 @@
     clock.call_after(tick_interval, name, [this, name, incarnation] { tick(name, incarnation); });
 }
 
-duration simulated_fleet::transmit(const std::string& from, const nlohmann::json& message) {
+duration simulated_fleet::transmit(const std::string& from, std::size_t bytes) {
+    bytes_sent[from] += bytes;
     if (link_bytes_per_s == 0) {
         return duration(0);
     }
-    const std::size_t bytes = message.dump().size();
-    bytes_sent[from] += bytes;
     const double seconds = static_cast<double>(bytes) / link_bytes_per_s;
     time_point& free_at = link_free_at_[from];
     free_at = std::max(free_at, clock.now()) +
@@ -164,16 +168,23 @@
     return free_at - clock.now();
 }
 
-void simulated_fleet::ask(const std::string& from, const endpoint& server, const nlohmann::json& message,
-                          duration timeout, const relay_answer_handler& done) {
+template <typename answer_type>
+void simulated_fleet::exchange(
+    const std::string& from, const endpoint& server, std::size_t bytes, duration timeout,
+    const std::function<void(const std::optional<answer_type>&, const error&)>& done,
+    const std::function<
+        void(fleet_daemon& target, const std::string& to,
+             std::function<void(std::optional<answer_type>, std::size_t, const error&)> respond)>& deliver) {
     const std::map<std::string, std::string>::const_iterator found =
         names_by_address_.find(server.to_string());
     const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
-    const auto finish = [this, from, answered, done](duration delay, std::optional<nlohmann::json> answer,
-                                                     error reason) {
+    const std::uint64_t incarnation = daemons_.at(from).incarnation;
+    const auto finish = [this, from, incarnation, answered,
+                         done](duration delay, std::optional<answer_type> answer, error reason) {
         clock.call_after(delay, from,
-                         [answered, done, answer = std::move(answer), reason = std::move(reason)] {
-                             if (!*answered) {
+                         [this, from, incarnation, answered, done, answer = std::move(answer),
+                          reason = std::move(reason)] {
+                             if (!*answered && daemons_.at(from).incarnation == incarnation) {
                                  *answered = true;
                                  done(answer, reason);
                              }
@@ -184,7 +195,7 @@
         return;
     }
     const std::string to = found->second;
-    clock.call_after(in_zone_delay + transmit(from, message), to, [this, to, message, finish] {
+    clock.call_after(in_zone_delay + transmit(from, bytes), to, [this, to, deliver, finish] {
         fleet_daemon& target = daemons_.at(to);
         if (cut_hosts.count(to) > 0) {
             return;
@@ -193,20 +204,50 @@
             finish(in_zone_delay, std::nullopt, error{error_code::connect_failed, "server", to, ""});
             return;
         }
-        target.relay->on_request(
-            message, [this, to, finish](const std::optional<nlohmann::json>& answer, const error& reason) {
-                if (cut_hosts.count(to) > 0) {
-                    return;
-                }
-                std::optional<nlohmann::json> sent = answer;
-                if (sent && corrupt.count(to) > 0) {
-                    corrupt.at(to)(*sent);
-                }
-                finish(in_zone_delay + slowness[to] + transmit(to, sent.value_or(nullptr)), sent, reason);
-            });
+        deliver(target, to,
+                [this, to, finish](std::optional<answer_type> answer, std::size_t size, const error& reason) {
+                    if (cut_hosts.count(to) == 0) {
+                        finish(in_zone_delay + slowness[to] + transmit(to, size), std::move(answer), reason);
+                    }
+                });
     });
 }
 
+void simulated_fleet::ask(const std::string& from, const endpoint& server, const nlohmann::json& message,
+                          duration timeout, const relay_answer_handler& done) {
+    exchange<nlohmann::json>(
+        from, server, message.dump().size(), timeout, done,
+        [this, message](fleet_daemon& target, const std::string& to, const auto& respond) {
+            target.relay->on_request(
+                message, [this, to, respond](const std::optional<nlohmann::json>& answer, const error& why) {
+                    std::optional<nlohmann::json> sent = answer;
+                    if (sent && corrupt.count(to) > 0) {
+                        corrupt.at(to)(*sent);
+                    }
+                    const std::size_t size = sent ? sent->dump().size() : 0;
+                    respond(std::move(sent), size, why);
+                });
+        });
+}
+
+void simulated_fleet::fetch_content(const std::string& from, const endpoint& server,
+                                    const std::string& message, duration timeout,
+                                    const content_answer_handler& done) {
+    exchange<std::string>(
+        from, server, message.size(), timeout, done,
+        [this, message](fleet_daemon& target, const std::string& to, const auto& respond) {
+            target.relay->on_content_request(
+                message, [this, to, respond](const std::optional<std::string>& answer, const error& why) {
+                    std::optional<std::string> sent = answer;
+                    if (sent && corrupt_parts.count(to) > 0) {
+                        corrupt_parts.at(to)(*sent);
+                    }
+                    const std::size_t size = sent ? sent->size() : 0;
+                    respond(std::move(sent), size, why);
+                });
+        });
+}
+
 void simulated_fleet::note_version(const std::string& name) {
     fleet_daemon& daemon = daemons_.at(name);
     const std::uint64_t version = version_of(name);
@@ -245,6 +286,10 @@
     return found == objects.end() ? 0 : found->second.content.at("version").get<std::uint64_t>();
 }
 
+const nlohmann::json& simulated_fleet::configuration_of(const std::string& name) const {
+    return daemons_.at(name).watches.front()->replica().objects().at("main").content;
+}
+
 std::vector<std::string> simulated_fleet::behind(std::uint64_t version) const {
     std::vector<std::string> result;
     for (const std::string& name : names()) {
--- a/tests/relay/simulated_fleet.h
+++ b/tests/relay/simulated_fleet.h
@@ -47,6 +47,8 @@
     [[nodiscard]] std::vector<std::string> names() const;
     /// Configuration version that a daemon has; 0 before the first one.
     [[nodiscard]] std::uint64_t version_of(const std::string& name) const;
+    /// Configuration that a daemon has, which must have one.
+    [[nodiscard]] const nlohmann::json& configuration_of(const std::string& name) const;
     /// Daemons that run, are not frozen and lack a version.
     [[nodiscard]] std::vector<std::string> behind(std::uint64_t version) const;
     [[nodiscard]] bool knows_instance(const std::string& name, const std::string& instance) const;
@@ -65,6 +67,8 @@
     std::set<std::string> cut_hosts;
     /// Changes the answer of a host before it is sent.
     std::map<std::string, std::function<void(nlohmann::json&)>> corrupt;
+    /// Changes a part of a content of a host before it is sent.
+    std::map<std::string, std::function<void(std::string&)>> corrupt_parts;
     /// Delay of the answers of a host, beyond that of the network.
     std::map<std::string, duration> slowness;
     /// Rate of the link of each host, in bytes per second; 0 for links that delay nothing.
@@ -90,9 +94,20 @@
 
     [[nodiscard]] static endpoint address_of(const std::string& name);
     /// Time until the last byte of a message has left the link of a host, behind those sent before it.
-    [[nodiscard]] duration transmit(const std::string& from, const nlohmann::json& message);
+    [[nodiscard]] duration transmit(const std::string& from, std::size_t bytes);
     void ask(const std::string& from, const endpoint& server, const nlohmann::json& message, duration timeout,
              const relay_answer_handler& done);
+    void fetch_content(const std::string& from, const endpoint& server, const std::string& message,
+                       duration timeout, const content_answer_handler& done);
+    /// Sends `bytes` to the daemon at `server`, where `deliver` is run, and calls `fail` once unless the
+    /// function that is passed to `deliver` has been called before the timeout.
+    template <typename answer_type>
+    void exchange(
+        const std::string& from, const endpoint& server, std::size_t bytes, duration timeout,
+        const std::function<void(const std::optional<answer_type>&, const error&)>& done,
+        const std::function<void(
+            fleet_daemon& target, const std::string& to,
+            std::function<void(std::optional<answer_type>, std::size_t, const error&)> respond)>& deliver);
     void tick(const std::string& name, std::uint64_t incarnation);
     void note_version(const std::string& name);
 
