http2: answers that grow with the deployment are awaited while they arrive

In gentianhilld a batch of up to 512 KB of tickets has 1 s, and a list of the platform's objects of up to 64 MB has 1 s; on a link that is slow or shared both are given up while they arrive and asked for again without end. Between edge daemons, a whole collection in a state answer has poll_wait and 0.5 s. Change: client_settings::arrival_limit, as for calls to the store: the time-out counts from the last bytes of the answer while it arrives, within a limit. Set for state answers, for other daemons of gentianhilld and for its store; requests with a deadline keep it.

--- a/gentianhill/http2/client.cpp
+++ b/gentianhill/http2/client.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
@@ -71,13 +72,10 @@
         exchange& created = exchanges_[id];
         created.message = std::move(message);
         created.on_result = std::move(on_result);
+        created.patience = timeout;
+        created.last_deadline = event_loop::now() + timeout + settings_.arrival_limit;
+        await(id, timeout);
         const std::weak_ptr<connection> self = weak_from_this();
-        created.timeout = loop_.call_after(timeout, [self, id] {
-            const std::shared_ptr<connection> target = self.lock();
-            if (target != nullptr) {
-                target->time_out(id);
-            }
-        });
         if (state_ == link_state::closed || refusing_) {
             // Reported from the loop, never from within send().
             loop_.run_after(duration{0}, [self, id] {
@@ -141,6 +139,10 @@
         bool ended = false;
         std::int32_t stream_id = 0;
         timer timeout;
+        duration patience{0};
+        time_point last_deadline;
+        /// Bytes of the body at the last check of the timeout.
+        std::size_t checked_bytes = 0;
         result_handler on_result;
     };
 
@@ -302,11 +304,29 @@
         }
     }
 
+    void await(std::uint64_t id, duration timeout) {
+        const std::weak_ptr<connection> self = weak_from_this();
+        exchanges_.at(id).timeout = loop_.call_after(timeout, [self, id] {
+            const std::shared_ptr<connection> target = self.lock();
+            if (target != nullptr) {
+                target->time_out(id);
+            }
+        });
+    }
+
+    /// Ends an exchange, unless more of its answer has arrived since the last check.
     void time_out(std::uint64_t id) {
         const std::map<std::uint64_t, exchange>::iterator found = exchanges_.find(id);
         if (found == exchanges_.end()) {
             return;
         }
+        exchange& checked = found->second;
+        const duration left = checked.last_deadline - event_loop::now();
+        if (checked.received.body.size() > checked.checked_bytes && left > duration(0)) {
+            checked.checked_bytes = checked.received.body.size();
+            await(id, std::min(checked.patience, left));
+            return;
+        }
         const std::int32_t stream_id = found->second.stream_id;
         const bool sent = stream_id > 0;
         if (sent && state_ == link_state::connected) {
--- a/gentianhill/http2/client.h
+++ b/gentianhill/http2/client.h
@@ -21,6 +21,10 @@
     duration connect_timeout = std::chrono::seconds{1};
     /// Largest answer, in bytes; a larger one fails the request with too_large.
     std::size_t max_body_bytes = 4U << 20U;
+    /// Longest time beyond the timeout of a request while its answer is arriving; it ends when nothing has
+    /// arrived for as long as the timeout. An answer whose size grows with the deployment needs it, since it
+    /// would otherwise be given up and asked for again without end.
+    duration arrival_limit{0};
 };
 
 /// One HTTP/2 connection to a server; requests share it as streams.
--- a/gentianhill/peer/peer_link.cpp
+++ b/gentianhill/peer/peer_link.cpp
@@ -15,6 +15,7 @@
     http2::reconnecting_client_settings result;
     result.connection.server = settings.server;
     result.connection.max_body_bytes = settings.max_answer_bytes;
+    result.connection.arrival_limit = settings.arrival_limit;
     result.reconnect = settings.reconnect;
     result.max_open_requests = settings.max_open_requests;
     return result;
--- a/gentianhill/relay/relay_transport.cpp
+++ b/gentianhill/relay/relay_transport.cpp
@@ -224,6 +224,8 @@
         settings.connection.connect_timeout =
             path == hand_on_path ? settings_.hand_on_connect_timeout : settings_.connect_timeout;
         settings.connection.max_body_bytes = settings_.max_answer_bytes;
+        settings.connection.arrival_limit =
+            path == path_of(relay_request_kind::state) ? settings_.state_arrival_limit : duration(0);
         settings.max_open_requests = settings_.max_open_requests;
         const bool is_silent_at_once =
             path == path_of(relay_request_kind::state) || path == hand_on_path || path == content_path;
--- a/gentianhill/relay/relay_transport.h
+++ b/gentianhill/relay/relay_transport.h
@@ -29,6 +29,9 @@
     std::size_t max_held_bytes = 64U << 20U;
     /// Largest answer, in bytes. A whole collection of the aim's size has about 4 MB.
     std::size_t max_answer_bytes = 16U << 20U;
+    /// Longest time beyond its timeout for which an answer with state may go on arriving: whole collections
+    /// grow with the deployment.
+    duration state_arrival_limit = std::chrono::seconds(10);
     /// Longest time to establish a connection.
     duration connect_timeout = std::chrono::milliseconds(400);
     /// Longest time to establish a connection for statements, which wait for it; hosts of one zone are tenths
--- a/gentianhill/store/object_store.cpp
+++ b/gentianhill/store/object_store.cpp
@@ -17,6 +17,7 @@
     result.connection.server = settings.service;
     result.connection.connect_timeout = settings.call_timeout;
     result.connection.max_body_bytes = settings.max_response_bytes;
+    result.connection.arrival_limit = settings.arrival_limit;
     result.reconnect = settings.retry;
     result.max_open_requests = max_open_requests;
     return result;
--- a/standins/link/link_relay.h
+++ b/standins/link/link_relay.h
@@ -14,7 +14,7 @@
 namespace gentianhill::standins {
 
 /// TCP relay whose directions can be blocked, delayed and cut by a control call: POST /control
-/// {"forward", "backward", "delay_ms", "close"} over HTTP/2.
+/// {"forward", "backward", "delay_ms", "bytes_per_s", "close"} over HTTP/2.
 class link_relay {
 public:
     /// The loop must outlive the relay.
--- a/standins/link/link_state.h
+++ b/standins/link/link_state.h
@@ -15,6 +15,8 @@
     bool backward = true;
     /// Delay of bytes that are read from now on, in each direction.
     duration delay{0};
+    /// Rate of each direction of each connection, in bytes per second; 0 for no limit.
+    std::int64_t bytes_per_s = 0;
 
     /// Changes the members named in a control call; all or none. `close` tells whether all connections are to
     /// be closed. Errors: as of object_reader.
--- a/standins/link/relay_direction.cpp
+++ b/standins/link/relay_direction.cpp
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace gentianhill::standins {
@@ -13,6 +14,9 @@
 // Reading pauses above this, so that a slow receiver slows its sender as on a direct connection.
 constexpr std::size_t max_buffered_bytes = 1U << 20U;
 
+/// Bytes that a link with a rate passes at once.
+constexpr std::size_t packet_bytes = 1400;
+
 std::size_t output_bytes(bufferevent* transport) {
     return evbuffer_get_length(bufferevent_get_output(transport));
 }
@@ -38,12 +42,23 @@
     }
 }
 
-void relay_direction::receive(duration delay) {
+void relay_direction::receive(duration delay, std::int64_t bytes_per_s) {
     evbuffer* input = bufferevent_get_input(from_);
-    chunk received{std::string(evbuffer_get_length(input), '\0'), event_loop::now() + delay};
-    evbuffer_remove(input, received.bytes.data(), received.bytes.size());
-    queued_bytes_ += received.bytes.size();
-    queue_.push_back(std::move(received));
+    const time_point now = event_loop::now();
+    while (evbuffer_get_length(input) > 0) {
+        const std::size_t length = bytes_per_s == 0 ? evbuffer_get_length(input)
+                                                    : std::min(evbuffer_get_length(input), packet_bytes);
+        chunk received{std::string(length, '\0'), now + delay};
+        if (bytes_per_s > 0) {
+            constexpr std::int64_t microseconds = 1'000'000;
+            free_at_ = std::max(free_at_, now) +
+                       duration(static_cast<std::int64_t>(length) * microseconds / bytes_per_s);
+            received.due = free_at_ + delay;
+        }
+        evbuffer_remove(input, received.bytes.data(), length);
+        queued_bytes_ += length;
+        queue_.push_back(std::move(received));
+    }
     pass_due();
 }
 
--- a/standins/link/relay_direction.h
+++ b/standins/link/relay_direction.h
@@ -3,6 +3,7 @@
 #include "gentianhill/core/event_loop.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <string>
@@ -23,8 +24,9 @@
 
     /// Lets bytes pass or holds them; the sender notices nothing while they are held.
     void set_open(bool open);
-    /// Takes what has arrived and passes it on after the delay.
-    void receive(duration delay);
+    /// Takes what has arrived and passes it on after the delay, at the rate in bytes per second; 0 for no
+    /// limit.
+    void receive(duration delay, std::int64_t bytes_per_s);
     /// The sender has closed.
     void end();
     /// The receiver has taken what was written to it.
@@ -47,6 +49,8 @@
     bool ended_ = false;
     std::size_t queued_bytes_ = 0;
     std::deque<chunk> queue_;
+    /// Time at which the link has passed all bytes before.
+    time_point free_at_;
     timer next_;
 };
 
--- a/standins/link/relayed_connection.cpp
+++ b/standins/link/relayed_connection.cpp
@@ -65,7 +65,7 @@
 
 void relayed_connection::on_read(bufferevent* transport, void* self) {
     relayed_connection* target = static_cast<relayed_connection*>(self);
-    target->from(transport).receive(target->state_.delay);
+    target->from(transport).receive(target->state_.delay, target->state_.bytes_per_s);
 }
 
 void relayed_connection::on_write(bufferevent* transport, void* self) {
--- a/tests/peer/peer_network_tests.cpp
+++ b/tests/peer/peer_network_tests.cpp
@@ -1,4 +1,5 @@
 #include "gentianhill/peer/peer_network.h"
+#include "standins/link/link_relay.h"
 
 #include <doctest/doctest.h>
 
@@ -19,6 +20,8 @@
     std::set<std::string> tickets;
     std::size_t news_received = 0;
     nlohmann::json summary = {{"ticket", 1}};
+    /// Content of the tickets that others pull.
+    std::string ticket_text;
     bool saw_commit = false;
 };
 
@@ -74,8 +77,12 @@
         handlers.opinion = [&stub](const peer_envelope&, const opinion_request&) {
             return opinion_answer{stub.saw_commit, 25ms};
         };
-        handlers.tickets_after = [](const peer_envelope&, const tickets_pull& pull) {
-            return ticket_batch{{{{"number", pull.after + 1}}}, true};
+        handlers.tickets_after = [&stub](const peer_envelope&, const tickets_pull& pull) {
+            nlohmann::json ticket = {{"number", pull.after + 1}};
+            if (!stub.ticket_text.empty()) {
+                ticket["text"] = stub.ticket_text;
+            }
+            return ticket_batch{{ticket}, true};
         };
         handlers.timeline = [](const peer_envelope&, const timeline_request& request) {
             return timeline_answer{{{{"limit", request.limit}}}};
@@ -371,3 +378,38 @@
     CHECK(timeline->events.front()["limit"] == 5);
     CHECK(unknown->code == error_code::unknown_daemon);
 }
+
+// Guards against a batch of tickets that never arrives on a link that is slow or shared, since it is given up
+// while it is arriving and pulled again.
+TEST_CASE_FIXTURE(network_fixture, "peer_network_large_batch_on_a_slow_link_is_received") {
+    start("eh-1", "z1");
+    daemon_stub& source = start("eh-2", "z1");
+    source.ticket_text = std::string(100'000, 'x');
+    standins::link_settings settings;
+    settings.target = addresses.back().server;
+    standins::link_relay link(loop, settings);
+    error reason;
+    REQUIRE(link.start(reason));
+    http2::client control(loop, {link.control_address()});
+    bool is_slow = false;
+    control.send({"POST", "/control", R"({"bytes_per_s": 200000})"}, 1s,
+                 [&is_slow](const std::optional<http2::response>& reply, const error&) {
+                     is_slow = reply && reply->status == 200;
+                 });
+    REQUIRE(wait([&is_slow] { return is_slow; }));
+    peer_network& puller = *daemons.at("eh-1").network;
+    puller.set_peers({addresses.front(), {"eh-2", "z1", link.address()}});
+    std::optional<ticket_batch> received;
+    error failure;
+    bool is_done = false;
+    puller.pull_tickets("eh-2", tickets_pull{5},
+                        [&](const std::optional<ticket_batch>& batch, const error& why) {
+                            received = batch;
+                            failure = why;
+                            is_done = true;
+                        });
+    REQUIRE(wait([&is_done] { return is_done; }));
+    CAPTURE(failure.describe());
+    REQUIRE(received);
+    CHECK(received->tickets.front().at("text") == source.ticket_text);
+}
--- a/tests/standins/link_tests.cpp
+++ b/tests/standins/link_tests.cpp
@@ -96,3 +96,70 @@
     REQUIRE(loop.run_until([this] { return caller->is_closed() && relay->connection_count() == 0; }, 2s));
     CHECK(controller->request("POST", "/control", {{"forward", 1}}).error_name() == "bad_type");
 }
+
+// Guards against a rate that is not applied, or alters what passes.
+TEST_CASE_FIXTURE(link_fixture, "link_rate_bounds_the_bytes_per_second") {
+    REQUIRE(caller->wait(send()).status == 200);
+    control({{"bytes_per_s", 1'000'000}});
+    const std::string body = "\"" + std::string(200'000, 'x') + "\"";
+    const time_point started = event_loop::now();
+    CHECK(caller->wait(caller->send("POST", "/echo", body)).text == body);
+    // 0.2 s in each direction.
+    CHECK(event_loop::now() - started >= 400ms - timer_slack);
+}
+
+/// A caller behind a link of 200 KB/s whose answers have 100 KB, and whose requests time out after 100 ms.
+struct slow_answer_fixture : link_fixture {
+    std::unique_ptr<http2::client> client;
+    std::optional<http2::response> answer;
+    error reason;
+    bool is_done = false;
+
+    void call(duration arrival_limit) {
+        server->on_request = [](http2::connection_id, const http2::request&,
+                                const http2::server::responder& respond) {
+            respond(http2::response{200, std::string(100'000, 'x')});
+        };
+        control({{"bytes_per_s", 200'000}});
+        http2::client_settings settings;
+        settings.server = relay->address();
+        settings.arrival_limit = arrival_limit;
+        client = std::make_unique<http2::client>(loop, settings);
+        client->send({"GET", "/", ""}, 100ms,
+                     [this](std::optional<http2::response> reply, const error& failure) {
+                         answer = std::move(reply);
+                         reason = failure;
+                         is_done = true;
+                     });
+    }
+    void wait_for_answer() {
+        REQUIRE(loop.run_until([this] { return is_done; }, 5s));
+    }
+};
+
+// Guards against an answer that is thrown away although it is arriving.
+TEST_CASE_FIXTURE(slow_answer_fixture, "http2_client_answer_that_arrives_slowly_is_awaited") {
+    call(5s);
+    wait_for_answer();
+    REQUIRE(answer);
+    CHECK(answer->body.size() == 100'000);
+}
+
+// Guards against a request with a deadline that is held beyond it.
+TEST_CASE_FIXTURE(slow_answer_fixture, "http2_client_without_arrival_limit_ends_at_the_timeout") {
+    call(0s);
+    wait_for_answer();
+    CHECK(reason.code == error_code::timed_out);
+    CHECK(reason.allowed != "0 bytes received");
+}
+
+// Guards against a server that falls silent in the middle of an answer.
+TEST_CASE_FIXTURE(slow_answer_fixture, "http2_client_answer_that_stops_arriving_is_given_up") {
+    call(5s);
+    loop.run_until([this] { return client->bytes_received() > 20'000; }, 2s);
+    control({{"backward", false}});
+    const time_point blocked_at = event_loop::now();
+    wait_for_answer();
+    CHECK(reason.code == error_code::timed_out);
+    CHECK(event_loop::now() - blocked_at < 2s);
+}
