relay: an answer confirms the configuration only if its update is in effect

Found while reading the transfer of contents: the update of an answer may be refused when it arrives late, since the store has been restored and the state replaced meanwhile. The age that the answer states was then still taken for that of the configuration in effect, on which the leases of callers' keys rest, so that a key taken away in the lost version could be used for longer than its lease.

--- a/gentianhill/relay/state_relay.cpp
+++ b/gentianhill/relay/state_relay.cpp
@@ -327,7 +327,11 @@
     if (answer.store_reachable) {
         note_heard(asked_at - answer.age);
     }
-    if (answer.configuration_age && on_configuration_confirmed) {
+    // The state may have been replaced while the contents of the answer were on their way.
+    const auto configuration_update = answer.updates.find(watches_.front()->collection());
+    const bool is_in_effect =
+        configuration_update == answer.updates.end() || holds(configuration_update->second.version);
+    if (answer.configuration_age && is_in_effect && on_configuration_confirmed) {
         on_configuration_confirmed(asked_at - *answer.configuration_age);
     }
     if (answer.configuration && on_configuration) {
@@ -336,6 +340,12 @@
     }
 }
 
+bool state_relay::holds(store_version version) const {
+    const collection_replica& replica = watches_.front()->replica();
+    return replica.has_state() && replica.version().era == version.era &&
+           replica.version().revision >= version.revision;
+}
+
 void state_relay::note_news(poll_state& state, const state_answer& answer) const {
     if (!answer.has_news || !answer.updates.empty()) {
         state.behind_since.reset();
--- a/gentianhill/relay/state_relay.h
+++ b/gentianhill/relay/state_relay.h
@@ -145,6 +145,8 @@
     /// Applies an answer of the daemon at `sender`; what lacks contents is applied when they have arrived.
     void receive(state_answer answer, time_point asked_at, const endpoint& sender);
     void apply(const state_answer& answer, time_point asked_at);
+    /// True when the configuration's replica holds all changes up to a version of the same era.
+    [[nodiscard]] bool holds(store_version version) const;
     void on_contents_failed(const endpoint& sender, const error& reason);
     /// Gives up a state that no healthy source has reached for long: it can't come from the store.
     void discard_if_ahead();
