--- a/gentianhill/content/content_receiver.cpp
+++ b/gentianhill/content/content_receiver.cpp
@@ -145,7 +145,9 @@
     const duration length = now() - finished.began_at;
     received_.add();
     time_ms_.record(length);
-    log_.write(log_level::info, "content", "content_received",
+    const bool is_late = length > settings_.late_limit;
+    log_.write(is_late ? log_level::warning : log_level::info, "content",
+               is_late ? "content_received_late" : "content_received",
                {{"digest", to_string(digest)},
                 {"sender", finished.sender.to_string()},
                 {"bytes", text->size()},
--- a/gentianhill/content/content_receiver.h
+++ b/gentianhill/content/content_receiver.h
@@ -24,6 +24,9 @@
     duration part_timeout = std::chrono::milliseconds(1000);
     /// Time for which the parts of a content are kept after its sender was lost, so that another can go on.
     duration keep_limit = std::chrono::seconds(5);
+    /// A transfer that takes longer is logged as a warning: the content is too large for the links and the
+    /// number of receivers.
+    duration late_limit = std::chrono::milliseconds(1500);
     /// Largest content, in bytes.
     std::size_t max_content_bytes = 16U << 20U;
     /// Texts named as bases in a request.
--- a/gentianhill/proxy/proxy_setting_definitions.cpp
+++ b/gentianhill/proxy/proxy_setting_definitions.cpp
@@ -69,6 +69,10 @@
         make_integer_setting("silence_limit_ms", 4000, 1500, 60'000, "ms",
                              "Time in which a connection to the store that has gone silent must be noticed. "
                              "Longer ones cost fewer calls."));
+    result.push_back(make_integer_setting("configuration_limit_ms", 3000, 100, 600'000, "ms",
+                                          "Time within which a configuration must be in effect. A transfer "
+                                          "from another daemon that takes half of "
+                                          "it is logged as a warning."));
     result.push_back(make_integer_setting("key_lease_ms", 0, 0, 600'000, "ms",
                                           "Time for which a key may be used after it was taken away, also by "
                                           "daemons that are out of touch with "
@@ -145,6 +149,8 @@
     const duration promotion_delay = std::chrono::milliseconds(values.integer("promotion_delay_ms"));
     result.proxy.failover.promotion.trust_wait =
         std::max(result.proxy.group.trust_window - promotion_delay, duration(0)) + trust_margin;
+    result.proxy.relay.contents.receiver.late_limit =
+        std::chrono::milliseconds(values.integer("configuration_limit_ms")) / 2;
     result.proxy.key_lease = std::chrono::milliseconds(values.integer("key_lease_ms"));
     result.proxy.quota.window =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(values.number("quota_window_s")));
--- a/tests/relay/large_state_tests.cpp
+++ b/tests/relay/large_state_tests.cpp
@@ -82,6 +82,20 @@
     CHECK(fleet.watchers() == 2);
 }
 
+// Guards against a configuration that the store takes and the links of a zone can't carry in time.
+TEST_CASE("large_state_largest_object_of_the_store_reaches_a_hundred_daemons_within_the_limit") {
+    constexpr std::size_t largest_object_bytes = 1U << 20U;
+    simulated_fleet fleet(1, 100);
+    fleet.link_bytes_per_s = small_link;
+    fleet.configure_routes(2, 5000);
+    const std::size_t bytes =
+        fleet.store.find(store_collection::configuration, "main")->content.dump().size();
+    REQUIRE(bytes > largest_object_bytes * 9 / 10);
+    fleet.run_for(apply_limit);
+    CHECK(fleet.behind(2) == names{});
+    CHECK(fleet.watchers() == 2);
+}
+
 // Guards against a change of one route that costs each link as much as the whole configuration: the changes
 // of a burst, three a second, must leave most of the links of the sources to statements.
 TEST_CASE_FIXTURE(grown_configuration_fixture, "large_state_change_of_one_route_costs_little_of_the_links") {
