content: a transfer that never gets its turn is given up, and tests of what waits for contents

A sender that always told a receiver to ask again would have kept it waiting without end; after 5 s without a part another sender goes on. Daemons of both versions side by side follow each other (new test).

--- a/gentianhill/content/content_receiver.cpp
+++ b/gentianhill/content/content_receiver.cpp
@@ -31,6 +31,7 @@
         if (known->second.failed_at) {
             known->second.failed_at.reset();
             known->second.sender = sender;
+            known->second.advanced_at = now();
             request_part(wanted.digest);
         }
         return true;
@@ -42,6 +43,7 @@
     started.wanted = wanted;
     started.sender = sender;
     started.began_at = now();
+    started.advanced_at = started.began_at;
     request_part(wanted.digest);
     return true;
 }
@@ -79,11 +81,16 @@
         fail(digest, reason);
         return;
     }
-    if (part->is_waiting) {
+    if (part->is_waiting && now() - running.advanced_at < settings_.turn_limit) {
         request_part(digest);
         return;
     }
+    if (part->is_waiting) {
+        fail(digest, {error_code::timed_out, "server", running.sender.to_string(), "no turn"});
+        return;
+    }
     ++running.parts;
+    running.advanced_at = now();
     bytes_received_.add(part->data.size());
     if (!append(running, *part, reason)) {
         fail(digest, reason);
--- a/gentianhill/content/content_receiver.h
+++ b/gentianhill/content/content_receiver.h
@@ -22,6 +22,8 @@
 struct content_receiver_settings {
     /// Longest wait for one part: the hold of the sender, transit and processing on a loaded host.
     duration part_timeout = std::chrono::milliseconds(1000);
+    /// Longest time without a part from a sender that tells this daemon to ask again.
+    duration turn_limit = std::chrono::seconds(5);
     /// Time for which the parts of a content are kept after its sender was lost, so that another can go on.
     duration keep_limit = std::chrono::seconds(5);
     /// A transfer that takes longer is logged as a warning: the content is too large for the links and the
@@ -71,6 +73,8 @@
         std::optional<content_digest> base;
         std::string bytes;
         time_point began_at;
+        /// Time of the last part, or of the first request to this sender.
+        time_point advanced_at;
         std::uint64_t parts = 0;
         /// Time of the failure; nothing while the transfer runs.
         std::optional<time_point> failed_at;
--- a/tests/content/content_transfer_tests.cpp
+++ b/tests/content/content_transfer_tests.cpp
@@ -250,6 +250,23 @@
     CHECK(received == std::vector<content_digest>{wanted.digest});
 }
 
+// Guards against a receiver that asks a sender without end which never serves it.
+TEST_CASE_FIXTURE(content_transfer_fixture, "content_transfer_without_a_turn_is_given_up") {
+    const content_reference wanted = add_to_senders(random_text(100'000, 1));
+    content_part ask_again;
+    ask_again.is_waiting = true;
+    REQUIRE(receiver->receive(wanted, first));
+    for (int step = 0; step < 20 && failures.empty(); ++step) {
+        current += 400ms;
+        next_request().done(ask_again.to_bytes(), {});
+    }
+    REQUIRE(failures.size() == 1);
+    CHECK(current <= time_point{100s} + content_receiver_settings{}.turn_limit + 400ms);
+    REQUIRE(receiver->receive(wanted, second));
+    deliver_all();
+    CHECK(received == std::vector<content_digest>{wanted.digest});
+}
+
 // Guards against a request that a daemon which stops leaves without an answer.
 TEST_CASE_FIXTURE(content_transfer_fixture, "content_sender_that_stops_refuses_all") {
     const content_reference wanted = add_to_senders(random_text(100'000, 1));
--- a/tests/relay/large_state_tests.cpp
+++ b/tests/relay/large_state_tests.cpp
@@ -189,6 +189,24 @@
     }
 }
 
+// Guards against daemons of the former version, which know no references, that get no configuration from
+// others, or none from them, in a rolling upgrade.
+TEST_CASE("large_state_daemons_of_both_versions_follow_each_other") {
+    simulated_fleet fleet(1, 8);
+    const names order = fleet.order("z0");
+    for (const std::size_t former : {1U, 4U, 6U}) {
+        fleet.kill(order[former]);
+        fleet.without_references.insert(order[former]);
+        fleet.start(order[former]);
+    }
+    fleet.run_for(apply_limit);
+    fleet.configure_routes(2, many_routes);
+    fleet.run_for(apply_limit);
+    CHECK(fleet.behind(2) == names{});
+    CHECK(fleet.watchers() == 2);
+    CHECK(fleet.regressions == names{});
+}
+
 // Guards against a zone that was cut from the store and takes long to catch up with a configuration that has
 // grown meanwhile.
 TEST_CASE_FIXTURE(small_links_fixture, "large_state_zone_that_was_cut_off_catches_up") {
--- a/tests/relay/simulated_fleet.cpp
+++ b/tests/relay/simulated_fleet.cpp
@@ -85,10 +85,12 @@
                                     duration timeout, const relay_answer_handler& done) {
         ask(name, server, message, timeout, done);
     };
-    daemon.port->fetch_content = [this, name](const endpoint& server, const std::string& message,
-                                              duration timeout, const content_answer_handler& done) {
-        fetch_content(name, server, message, timeout, done);
-    };
+    if (without_references.count(name) == 0) {
+        daemon.port->fetch_content = [this, name](const endpoint& server, const std::string& message,
+                                                  duration timeout, const content_answer_handler& done) {
+            fetch_content(name, server, message, timeout, done);
+        };
+    }
     collection_watch_settings watch;
     watch.wait = silence_limit - 1s;
     std::vector<collection_watch*> watches;
--- a/tests/relay/simulated_fleet.h
+++ b/tests/relay/simulated_fleet.h
@@ -69,6 +69,9 @@
     std::map<std::string, std::function<void(nlohmann::json&)>> corrupt;
     /// Changes a part of a content of a host before it is sent.
     std::map<std::string, std::function<void(std::string&)>> corrupt_parts;
+    /// Hosts that exchange whole contents in their answers, as the former version does; set before their
+    /// start.
+    std::set<std::string> without_references;
     /// Delay of the answers of a host, beyond that of the network.
     std::map<std::string, duration> slowness;
     /// Rate of the link of each host, in bytes per second; 0 for links that delay nothing.
