--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -54,6 +54,9 @@
 constexpr duration lost_configuration_time = 500ms;
 /// Era of the store after both restores.
 constexpr std::uint64_t last_era = 3;
+/// Routes by which the configuration grows, and the time between the changes of single ones that follow.
+constexpr std::size_t grown_routes = 1500;
+constexpr duration route_change_interval = 700ms;
 const std::string group = "orders";
 
 /// What was done to one run of a daemon.
@@ -98,6 +101,7 @@
           random_(seed),
           restore_random_(seed),
           signal_random_(seed),
+          growth_random_(seed),
           length_(length),
           flusher_(loop_),
           model_({}),
@@ -124,6 +128,7 @@
         strike_later();
         restore_later();
         signal_later();
+        grow_configuration_later();
         check_configuration_later();
         reuse_lost_revision_later();
         const duration whole = length_ + final_stage;
@@ -185,6 +190,16 @@
                               {"TargetLatencyMs", 200},
                               {"MaxStalenessMs", 1500}});
         }
+        for (std::size_t route = 0; route < further_routes_; ++route) {
+            routes.push_back({{"Name", fmt::format("further_{}", route)},
+                              {"Database", fmt::format("further_{}", route)},
+                              {"Type", "read_your_writes"},
+                              {"Backend", group},
+                              {"Priority", 2},
+                              {"TimeoutMs", route == config_version_ ? 900 : 1000},
+                              {"TargetLatencyMs", 200},
+                              {"MaxStalenessMs", 1500}});
+        }
         http_.write("config", "main",
                     {{"Version", config_version_},
                      {"Routes", routes},
@@ -326,6 +341,27 @@
         });
     }
 
+    /// Adds many routes once, and changes one of them from time to time while the faults go on. The moment
+    /// has its own random numbers, so that the other faults of a seed do not depend on it.
+    void grow_configuration_later() {
+        const std::int64_t range = std::max<std::int64_t>(to_milliseconds(length_ - recovery), 1);
+        const std::int64_t delay_ms = std::uniform_int_distribution<std::int64_t>(0, range)(growth_random_);
+        loop_.run_after(std::chrono::milliseconds(delay_ms), [this] {
+            note("growth", "configuration");
+            further_routes_ = grown_routes;
+            change_route();
+        });
+    }
+
+    void change_route() {
+        if (boot_now() - start_ >= length_ - recovery) {
+            return;
+        }
+        ++config_version_;
+        write_configuration();
+        loop_.run_after(route_change_interval, [this] { change_route(); });
+    }
+
     /// Writes a further version once the faults have ended, and tries its route at every daemon.
     void check_configuration_later() {
         loop_.run_after(length_ - recovery + settle_time, [this] {
@@ -606,6 +642,7 @@
     std::mt19937_64 random_;
     std::mt19937_64 restore_random_;
     std::mt19937_64 signal_random_;
+    std::mt19937_64 growth_random_;
     duration length_;
     event_loop loop_;
     platform::output_flusher flusher_;
@@ -621,6 +658,8 @@
     /// Connections that ask for the route of the last configuration version.
     std::vector<std::unique_ptr<soak_client>> probes_;
     std::uint64_t config_version_ = 1;
+    /// Routes that no client uses.
+    std::size_t further_routes_ = 0;
     std::map<std::string, sent_statement> reads_;
     std::map<std::string, std::string> stale_;
     std::vector<std::string> findings_;
