--- a/gentianhill/peer/peer_link.h
+++ b/gentianhill/peer/peer_link.h
@@ -24,8 +24,8 @@
     std::size_t max_open_requests = 16;
     /// Largest answer, in bytes.
     std::size_t max_answer_bytes = 2U << 20U;
-    /// Longest time beyond its timeout for which an answer may go on arriving: a batch of tickets takes longer
-    /// than a heartbeat on a link that others use too.
+    /// Longest time beyond its timeout for which an answer may go on arriving: a batch of tickets takes
+    /// longer than a heartbeat on a link that others use too.
     duration arrival_limit = std::chrono::seconds{10};
 };
 
--- a/gentianhill/store/object_store.h
+++ b/gentianhill/store/object_store.h
@@ -32,7 +32,8 @@
     unsigned max_attempts = 8;
     /// Largest response body; a list may hold many objects of up to 1 MB.
     std::size_t max_response_bytes = 64U << 20U;
-    /// Longest time beyond its timeout for which a response may go on arriving: lists grow with the deployment.
+    /// Longest time beyond its timeout for which a response may go on arriving: lists grow with the
+    /// deployment.
     duration arrival_limit = std::chrono::seconds{10};
 };
 
