--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 out=target/review-2
 mkdir -p "$out"
 read -r -a flags <<<"$(pkg-config --cflags libevent) -std=c++20 -O1 -g -Wall -Wextra -I."
-read -r -a libraries <<<"$(pkg-config --libs libevent libnghttp2 libxxhash libzstd libcrypto) -lfmt -lboost_program_options"
+read -r -a libraries <<<"$(pkg-config --libs libevent libnghttp2 libxxhash libcrypto) -lfmt -lboost_program_options"
 shared=(review/deployment_2.cpp standins/line_platform/line_instances.cpp standins/replicated_service/service_model.cpp)
 objects=()
 for source in "${shared[@]}"; do
--- a/review/build.sh
+++ b/review/build.sh
@@ -15,4 +15,4 @@
     wait "$job"
 done
 g++ "$out"/*.o -o "$out/world" -Wl,--start-group target/libgentianhill_*.a -Wl,--end-group \
-    $(pkg-config --libs libevent libnghttp2 libxxhash libzstd libcrypto) -lfmt -lboost_program_options
+    $(pkg-config --libs libevent libnghttp2 libxxhash libcrypto) -lfmt -lboost_program_options
