content: compressed forms and transfers are bounded in bytes, not in number

Cause: the cache kept the last eight compressed forms, and a receiver up to sixteen transfers, whatever their sizes: up to 16 MB each, on hosts of 160 MB. Ruled out: texts, which were bounded in bytes already. Change: 2 MB of forms, 32 MB of transfers together, and a form that is larger than that of a text of its size can be ends the transfer with its first part.

--- a/gentianhill/content/content_cache.cpp
+++ b/gentianhill/content/content_cache.cpp
@@ -67,9 +67,11 @@
         return nullptr;
     }
     const content_digest bytes_digest = digest_of(*bytes);
+    encoding_bytes_ += bytes->size();
     encodings_.push_front(std::make_shared<const content_encoding>(
         content_encoding{digest, text->size(), base, std::move(*bytes), bytes_digest}));
-    if (encodings_.size() > settings_.max_encodings) {
+    while (encoding_bytes_ > settings_.max_encoding_bytes && encodings_.size() > 1) {
+        encoding_bytes_ -= encodings_.back()->bytes.size();
         encodings_.pop_back();
     }
     return encodings_.front();
--- a/gentianhill/content/content_cache.h
+++ b/gentianhill/content/content_cache.h
@@ -16,8 +16,8 @@
 struct content_cache_settings {
     /// Texts kept, in bytes; the newest one is kept whatever its size.
     std::size_t max_bytes = 8U << 20U;
-    /// Compressed forms kept.
-    std::size_t max_encodings = 8;
+    /// Compressed forms kept, in bytes; the one used last is kept whatever its size.
+    std::size_t max_encoding_bytes = 2U << 20U;
 };
 
 /// Compressed form of a text.
@@ -59,6 +59,7 @@
     std::size_t held_bytes_ = 0;
     /// Last used first.
     std::list<std::shared_ptr<const content_encoding>> encodings_;
+    std::size_t encoding_bytes_ = 0;
 };
 
 } // namespace gentianhill
--- a/gentianhill/content/content_codec.cpp
+++ b/gentianhill/content/content_codec.cpp
@@ -26,6 +26,10 @@
 
 } // namespace
 
+std::size_t max_compressed_bytes(std::size_t text_bytes) {
+    return ZSTD_compressBound(text_bytes);
+}
+
 std::optional<std::string> compress_content(std::string_view text, std::string_view base, error& reason) {
     if (text.size() + base.size() > max_window_bytes) {
         reason = {error_code::too_large, "content", std::to_string(text.size() + base.size()),
@@ -40,7 +44,7 @@
         ZSTD_CCtx_setParameter(context.get(), ZSTD_c_enableLongDistanceMatching, 1);
         ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
     }
-    std::string bytes(ZSTD_compressBound(text.size()), '\0');
+    std::string bytes(max_compressed_bytes(text.size()), '\0');
     const std::size_t count =
         ZSTD_compress2(context.get(), bytes.data(), bytes.size(), text.data(), text.size());
     if (ZSTD_isError(count) != 0) {
--- a/gentianhill/content/content_receiver.cpp
+++ b/gentianhill/content/content_receiver.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianhill/content/content_codec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gentianhill {
@@ -23,7 +24,7 @@
                                       "Time from the first request for a content to its arrival.")) {}
 
 bool content_receiver::receive(const content_reference& wanted, const endpoint& sender) {
-    if (!port_ || wanted.bytes > settings_.max_content_bytes) {
+    if (!port_) {
         return false;
     }
     const std::map<content_digest, transfer>::iterator known = transfers_.find(wanted.digest);
@@ -36,7 +37,7 @@
         }
         return true;
     }
-    if (transfers_.size() >= settings_.max_transfers) {
+    if (!has_room_for(wanted)) {
         return false;
     }
     transfer& started = transfers_[wanted.digest];
@@ -48,6 +49,15 @@
     return true;
 }
 
+bool content_receiver::has_room_for(const content_reference& wanted) const {
+    std::size_t bytes = 0;
+    for (const auto& [digest, running] : transfers_) {
+        bytes += running.wanted.bytes;
+    }
+    return wanted.bytes <= settings_.max_content_bytes && transfers_.size() < settings_.max_transfers &&
+           wanted.bytes <= settings_.max_transfer_bytes - std::min(bytes, settings_.max_transfer_bytes);
+}
+
 bool content_receiver::is_receiving(const content_digest& digest) const {
     const std::map<content_digest, transfer>::const_iterator found = transfers_.find(digest);
     return found != transfers_.end() && !found->second.failed_at;
@@ -109,7 +119,8 @@
         running.bytes.clear();
     }
     const bool fits = part.offset == running.bytes.size() && part.encoding_bytes == running.encoding_bytes &&
-                      part.base == running.base && part.encoding_bytes <= settings_.max_content_bytes;
+                      part.base == running.base &&
+                      part.encoding_bytes <= max_compressed_bytes(running.wanted.bytes);
     if (!fits) {
         reason = {error_code::mismatched_answer, "offset", std::to_string(part.offset),
                   std::to_string(running.bytes.size())};
--- a/gentianhill/content/content_receiver.h
+++ b/gentianhill/content/content_receiver.h
@@ -33,8 +33,9 @@
     std::size_t max_content_bytes = 16U << 20U;
     /// Texts named as bases in a request.
     std::size_t max_bases = 8;
-    /// Contents that may be received at the same time.
+    /// Contents that may be received at the same time, and their sizes together, in bytes.
     std::size_t max_transfers = 16;
+    std::size_t max_transfer_bytes = 32U << 20U;
 };
 
 /// Receives contents from other daemons part by part and adds them to a cache. A transfer fails when its
@@ -82,6 +83,8 @@
         bool takes_bases = true;
     };
 
+    /// True if one more content can be received.
+    [[nodiscard]] bool has_room_for(const content_reference& wanted) const;
     void request_part(const content_digest& digest);
     void on_part(const content_digest& digest, const std::optional<std::string>& answer, error reason);
     /// Adds the data of a part; false if it does not fit to what has arrived.
--- a/tests/content/content_transfer_tests.cpp
+++ b/tests/content/content_transfer_tests.cpp
@@ -189,6 +189,28 @@
     CHECK(!receiver->receive({digest_of("one more"), 100}, first));
 }
 
+// Guards against a daemon that makes another one keep any number of bytes.
+TEST_CASE_FIXTURE(content_transfer_fixture, "content_transfers_together_are_bounded_in_bytes") {
+    const content_receiver_settings settings;
+    const std::size_t half = settings.max_transfer_bytes / 2;
+    REQUIRE(half <= settings.max_content_bytes);
+    CHECK(receiver->receive({digest_of("one"), half}, first));
+    CHECK(receiver->receive({digest_of("two"), half - 100}, first));
+    CHECK(!receiver->receive({digest_of("three"), 101}, first));
+    CHECK(receiver->receive({digest_of("four"), 100}, first));
+}
+
+// Guards against a compressed form that is larger than that of any text of the size can be.
+TEST_CASE_FIXTURE(content_transfer_fixture, "content_transfer_of_a_form_larger_than_its_text_is_given_up") {
+    REQUIRE(receiver->receive({digest_of("text"), 1000}, first));
+    content_part part;
+    part.encoding = digest_of("form");
+    part.encoding_bytes = 5000;
+    part.data = std::string(1000, 'x');
+    next_request().done(part.to_bytes(), {});
+    CHECK(failures.size() == 1);
+}
+
 // Guards against a link that is shared by all receivers at once, and against one that never gets its turn.
 TEST_CASE_FIXTURE(content_transfer_fixture, "content_sender_serves_a_few_at_a_time_in_order") {
     const content_reference wanted = add_to_senders(random_text(100'000, 1));
