failover: fencing tokens hold revisions of 52 bits

Cause: a token kept the revision in 40 bits, with the era of the store above it in 23. Ruled out: a limit of the platform; it takes any number that rises. A token without the revision, such as a count kept in the duty's object, would fall when that object is deleted. Change: 52 bits for the revision, 11 for the era. Tokens of era 0 and 1 still are below 2^53.

--- a/gentianhill/failover/duty_lease.cpp
+++ b/gentianhill/failover/duty_lease.cpp
@@ -14,7 +14,7 @@
 constexpr duration end_retry_pause = std::chrono::milliseconds(500);
 constexpr std::string_view first_object_name = "failover";
 /// Bits of a fencing token that hold the revision; the era is above them.
-constexpr unsigned revision_bits = 40;
+constexpr unsigned revision_bits = 52;
 /// Bits of a fencing token that hold the era; one bit remains for readers with signed numbers.
 constexpr unsigned era_bits = 63 - revision_bits;
 constexpr std::array<std::string_view, 5> refusal_names{"none", "held_by_other", "lost_race",
--- a/tests/simulation/simulated_store.h
+++ b/tests/simulation/simulated_store.h
@@ -69,6 +69,8 @@
 
     [[nodiscard]] std::uint64_t era() const { return era_; }
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
+    /// Leaves out the next `count` revisions.
+    void skip_revisions(std::uint64_t count) { revision_ += count; }
 
     bool is_down = false;
     /// Hosts that are partitioned from the store.
