proxy: reads at the primary carry the position that it has stated

Cause: a read at the primary relied on trust, which shows that no promotion has taken effect, not that the primary still holds its log; and a status of a lower term was not taken as the end of its lead. Ruled out: trust that outlasts a promotion (none was made); reads at replicas, which always carry a position. Checking each new connection with a status call first would cost a round trip and a slot for each. Change: such a read, or the BEGIN of a read transaction, carries the highest position that this instance has stated while it led the term, which its log always reaches. If it lacks that, or answers as a follower of a lower term to a question of after it led, it no longer counts as the primary. gentianhilld is not concerned: an instance that lost its state rejects statements of the group's term (design.md 4.1).

--- a/gentianhill/failover/former_primary.cpp
+++ b/gentianhill/failover/former_primary.cpp
@@ -31,4 +31,9 @@
     return id == id_ && started_at_ms == started_at_ms_ && term == term_ && stepped_down_ && log_kept_;
 }
 
+std::optional<log_position> former_primary::leading_log_end(const std::string& id, term_number term) const {
+    const bool has_led = !id_.empty() && id == id_ && term == term_;
+    return has_led ? std::optional(leading_log_end_) : std::nullopt;
+}
+
 } // namespace gentianhill
--- a/gentianhill/failover/former_primary.h
+++ b/gentianhill/failover/former_primary.h
@@ -3,6 +3,7 @@
 #include "gentianhill/failover/instance_status.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace gentianhill {
@@ -24,6 +25,9 @@
     /// True if the instance led `term`, has answered since that it does not lead, and holds the log with
     /// which it led.
     [[nodiscard]] bool holds_log(const std::string& id, std::int64_t started_at_ms, term_number term) const;
+    /// Highest position that the instance has stated while it led `term`; nothing if it has stated none. Its
+    /// log reaches this position unless it has started again without it.
+    [[nodiscard]] std::optional<log_position> leading_log_end(const std::string& id, term_number term) const;
 
 private:
     std::string id_;
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -347,7 +347,10 @@
         poll_replicas();
         return {nullptr, std::nullopt, placement_wait::no_evidence};
     }
-    return take_connection(*instance, query, std::nullopt);
+    // The instance may have started again under its id without its log. Until a write shows that it no longer
+    // leads, only the position tells.
+    return take_connection(*instance, query,
+                           only_reads ? former_primary_.leading_log_end(primary_id_, term_) : std::nullopt);
 }
 
 time_point database_group::trust_needed_at(const placement_query& query) const {
@@ -821,6 +824,20 @@
     poll_instances();
 }
 
+void database_group::on_lagging(const std::string& id, const log_position& min_position) {
+    proxy_instance* instance = find(id);
+    if (instance != nullptr) {
+        instance->lag().on_lagging(min_position, now());
+    }
+    const std::optional<log_position> stated = former_primary_.leading_log_end(id, term_);
+    if (id == primary_id_ && stated && min_position <= *stated) {
+        log_.write(log_level::warning, "group", "primary_lacks_its_log",
+                   {{"group", name_}, {"instance", id}, {"position", min_position.position}});
+        set_primary("", term_);
+        poll_instances();
+    }
+}
+
 void database_group::on_answered(proxy_instance& instance, command_kind kind, time_point sent_at,
                                  const instance_answer& answer) {
     const time_point current = now();
@@ -944,7 +961,9 @@
         }
         return;
     }
-    if (id == primary_id_ && status.term >= term_) {
+    // One that follows after it has led, but states a lower term, has started again without its log.
+    const std::optional<time_point> led_at = read_points_.newest_at();
+    if (id == primary_id_ && (status.term >= term_ || (led_at && sent_at > *led_at))) {
         set_primary("", term_);
         poll_instances();
         return;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -190,6 +190,9 @@
     [[nodiscard]] bool accepts_attempts() const { return accepts_attempts_; }
     /// Called when an instance has rejected a write because it is not the primary.
     void on_not_primary(const std::string& id);
+    /// Called when an instance has rejected a read because its log lacks `min_position`. A primary that lacks
+    /// what it has stated itself has started again without its log.
+    void on_lagging(const std::string& id, const log_position& min_position);
     /// Requests the status of all instances to find the primary.
     void poll_instances();
     /// Provides evidence to another daemon of the zone: at once if it suffices, otherwise when it does, and
--- a/gentianhill/proxy/statement_task.cpp
+++ b/gentianhill/proxy/statement_task.cpp
@@ -245,7 +245,7 @@
         return;
     case statement_outcome::lagging:
         if (min_position) {
-            owner.lag().on_lagging(*min_position, group_.now());
+            group_.on_lagging(instance, *min_position);
         }
         retry(instance, outcome, true);
         return;
--- a/tests/proxy/freshness_tests.cpp
+++ b/tests/proxy/freshness_tests.cpp
@@ -104,6 +104,49 @@
     CHECK(deployment.service.violations().empty());
 }
 
+// Guards against stale reads at a primary that has started again under its id with an empty log, before any
+// write shows that it no longer leads.
+TEST_CASE_FIXTURE(freshness_fixture, "freshness_primary_restarted_without_log_serves_no_stale_reads") {
+    std::unique_ptr<simulated_client> writer = deployment.connect(0, "own");
+    const std::string write = writer->send("WRITE a 1");
+    // Beyond the staleness that any of the routes allows.
+    deployment.run_for(2s);
+    REQUIRE(writer->outcome(write) == statement_outcome::done);
+    std::vector<std::unique_ptr<simulated_client>> readers;
+    for (std::size_t proxy = 0; proxy < 2; ++proxy) {
+        readers.push_back(deployment.connect(proxy, "latest"));
+        readers.push_back(deployment.connect(proxy, "own"));
+    }
+    bool in_transaction = false;
+    SUBCASE("single reads") {}
+    SUBCASE("read transactions") {
+        in_transaction = true;
+    }
+    const std::vector<std::string> texts = in_transaction
+                                               ? std::vector<std::string>{"BEGIN READ", "READ a", "COMMIT"}
+                                               : std::vector<std::string>{"READ a"};
+    deployment.service.set_up("i-1", false);
+    deployment.run_for(60ms);
+    deployment.restart_without_log("i-1");
+    std::size_t served = 0;
+    for (int round = 0; round < 100; ++round) {
+        for (const std::unique_ptr<simulated_client>& reader : readers) {
+            for (const std::string& text : texts) {
+                const std::string id = reader->send(text);
+                for (int step = 0; step < 100 && reader->result(id) == nullptr; ++step) {
+                    deployment.run_for(5ms);
+                }
+                if (text == "READ a" && seen.count(id) > 0 &&
+                    reader->outcome(id) == statement_outcome::done) {
+                    CHECK(saw(id, write));
+                    ++served;
+                }
+            }
+        }
+    }
+    CHECK(served > 0);
+}
+
 // Guards against refusing reads while no primary serves, although the logs of the replicas contain every
 // acknowledged commit.
 TEST_CASE_FIXTURE(freshness_fixture, "freshness_reads_during_failover_are_served") {
