failover: a primary that is lost with its entry is replaced

The daemons log members_not_settled. Cause: any departure unsettled the group, also that of the instance that led the newest term, and without a primary only that instance could settle it. Ruled out: the record of members (it is not read while the group is settled); the retention of removed entries, which only moves the moment. Change: commits are acknowledged once a replica has received them, so when the leader of the newest term leaves, or starts again without its log, the others hold all of that term, provided a replica had settled the group and none has left since. A read of the promoted terms in the store shows that there is no newer one. The group is then settled for one promotion, which all listed instances must answer; the new primary settles it anew. Until then it is neither recorded nor passed on as settled.

--- a/gentianhill/failover/membership_settlement.h
+++ b/gentianhill/failover/membership_settlement.h
@@ -22,18 +22,59 @@
         start_over(evidence_from);
         members_kept_ = false;
     }
+    /// Starts over because the instance that led the newest known `term` has left or lost its log. If another
+    /// replica had settled the group, the other members hold every commit of this term: it was acknowledged
+    /// once one of them had received it, and none has left. A commit of a newer term may have been received
+    /// by the departed instance only.
+    void unsettle_without_primary(term_number term, time_point evidence_from) {
+        std::optional<lost_primary> lost;
+        if (lost_primary_ && lost_primary_->term == term) {
+            lost = lost_primary_;
+        } else if (settled_ && is_held_by_replicas_) {
+            lost = lost_primary{term, settled_position()};
+        }
+        unsettle(evidence_from);
+        lost_primary_ = lost;
+    }
+    /// True if the group is settled as soon as the store shows that no newer term than `term` has been
+    /// promoted.
+    [[nodiscard]] bool needs_promoted_term(term_number term) const {
+        return !settled_ && lost_primary_ && lost_primary_->term == term;
+    }
+    /// Records that the store, asked at `asked_at`, has shown that no newer term than `term` has been
+    /// promoted; returns true if this settles the group.
+    [[nodiscard]] bool on_no_newer_term(term_number term, time_point asked_at) {
+        if (!needs_promoted_term(term) || asked_at < evidence_from_) {
+            return false;
+        }
+        required_position_ = lost_primary_->settled_position;
+        settled_ = true;
+        return true;
+    }
+    /// True if the group is settled without the primary that has left. A commit may then be in the log of one
+    /// member only, so this holds for the promotion of one of them and not beyond.
+    [[nodiscard]] bool is_settled_without_primary() const { return settled_ && lost_primary_; }
     /// Starts over in a new era of the metadata store, in which a member may have joined and ended unseen.
     void unsettle_for_new_era(time_point evidence_from) { start_over(evidence_from); }
     /// True when a position requested now can settle the group.
     [[nodiscard]] bool needs_position(time_point now) const { return !settled_ && now >= evidence_from_; }
     /// Records the position that the primary reported in its answer to a request sent at `sent_at`.
     void on_primary_position(log_position position, time_point sent_at) {
-        if (!settled_ && !required_position_ && sent_at >= evidence_from_) {
+        if (sent_at < evidence_from_) {
+            return;
+        }
+        if (!settled_ && !required_position_) {
             required_position_ = position;
         }
+        if (!stated_position_) {
+            stated_position_ = position;
+        }
     }
-    /// Records how far a current replica has received the log; returns true if this settles the group.
-    [[nodiscard]] bool on_replica_position(log_position received) {
+    /// Records how far a current replica has received the log, and whether it has led the newest known term;
+    /// returns true if this settles the group.
+    [[nodiscard]] bool on_replica_position(log_position received, bool has_led) {
+        is_held_by_replicas_ =
+            is_held_by_replicas_ || (!has_led && stated_position_ && received >= *stated_position_);
         if (settled_ || !required_position_ || received < *required_position_) {
             return false;
         }
@@ -75,10 +116,14 @@
         by_former_primary_ = false;
         evidence_from_ = std::max(evidence_from_, evidence_from);
         required_position_.reset();
+        stated_position_.reset();
+        is_held_by_replicas_ = false;
+        lost_primary_.reset();
     }
     void settle_with_members() {
         settled_ = true;
         members_kept_ = true;
+        lost_primary_.reset();
     }
 
     bool settled_ = false;
@@ -87,6 +132,17 @@
     bool members_kept_ = false;
     time_point evidence_from_;
     std::optional<log_position> required_position_;
+    /// First position that the primary has stated since the group started over.
+    std::optional<log_position> stated_position_;
+    /// A replica has reached that position since, so that another member than the primary holds each commit.
+    bool is_held_by_replicas_ = false;
+    struct lost_primary {
+        term_number term = 0;
+        /// Position up to which the group was settled.
+        log_position settled_position;
+    };
+    /// Primary that has left the settled group.
+    std::optional<lost_primary> lost_primary_;
 };
 
 } // namespace gentianhill
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -188,7 +188,10 @@
             log_.write(log_level::info, "group", "instance_restarted",
                        {{"group", name_}, {"instance", listed.id}});
             unfenced_reports_.remove(listed.id);
-            settlement_.unsettle(now());
+            unsettle_by(listed.id);
+            if (listed.id == primary_id_) {
+                set_primary("", term_);
+            }
         }
         found->second->update(listed);
     }
@@ -217,10 +220,47 @@
     status_sent_at_.erase(id);
     unfenced_reports_.remove(id);
     failure_detector_.on_replica_fence_state(id, false, now());
-    settlement_.unsettle(now());
+    unsettle_by(id);
     if (id == primary_id_) {
         set_primary("", term_);
     }
+    check_lost_primary();
+}
+
+void database_group::unsettle_by(const std::string& id) {
+    const bool has_led = former_primary_.leading_log_end(id, term_).has_value();
+    if (has_led) {
+        settlement_.unsettle_without_primary(term_, now());
+    } else {
+        settlement_.unsettle(now());
+    }
+}
+
+void database_group::check_lost_primary() {
+    const time_point current = now();
+    if (!primary_id_.empty() || !settlement_.needs_promoted_term(term_) || checking_lost_primary_ ||
+        !read_promoted_term || current - lost_primary_checked_at_ < record_read_interval) {
+        return;
+    }
+    checking_lost_primary_ = true;
+    lost_primary_checked_at_ = current;
+    read_promoted_term([this, current, term = term_,
+                        alive = std::weak_ptr<bool>(alive_)](std::optional<term_number> promoted) {
+        if (alive.expired()) {
+            return;
+        }
+        checking_lost_primary_ = false;
+        log_.write(log_level::info, "group", "lost_primary_checked",
+                   {{"group", name_},
+                    {"term", term},
+                    {"answered", promoted.has_value()},
+                    {"promoted_term", promoted.value_or(0)}});
+        if (primary_id_.empty() && term == term_ && promoted && is_newest(*promoted) &&
+            settlement_.on_no_newer_term(term, current)) {
+            log_.write(log_level::info, "group", "members_settled",
+                       {{"group", name_}, {"without_primary_of_term", term}});
+        }
+    });
 }
 
 void database_group::set_limits(const group_limits& limits, std::size_t proxies) {
@@ -985,10 +1025,11 @@
     const listed_instance& listed = replica.listed();
     const bool holds_all_of_term =
         primary_id_.empty() && former_primary_.holds_log(listed.id, listed.started_at_ms, term_);
+    const bool has_led = former_primary_.leading_log_end(listed.id, term_).has_value();
     // A draining replica will be removed as well, so its position does not count.
     const bool settles =
         (holds_all_of_term && settlement_.on_former_primary(status.log_end, sent_at, false)) ||
-        (!listed.draining && settlement_.on_replica_position(status.log_end));
+        (!listed.draining && settlement_.on_replica_position(status.log_end, has_led));
     if (settles) {
         on_settled_by(listed.id, status.log_end);
     } else if (holds_all_of_term && settlement_.needs_position(sent_at)) {
@@ -1182,6 +1223,9 @@
         read_points_.clear();
         received_position_ = {};
     }
+    if ((term != term_ || !id.empty()) && settlement_.is_settled_without_primary()) {
+        settlement_.unsettle(now());
+    }
     primary_id_ = id;
     term_ = term;
     unconfirmed_.resolve(term_, trust_);
@@ -1360,7 +1404,7 @@
              current - need.max_point_age.value_or(duration(0)), trust_.until(), max_provided_points)) {
         answer.points.push_back({point.position, current - point.sent_at});
     }
-    if (settlement_.is_settled()) {
+    if (is_settled_for_others()) {
         answer.settled_members = member_keys();
         answer.settled_era = era_;
     }
@@ -1548,6 +1592,7 @@
         renew_evidence(current);
         renew_trust_in_use(current);
         poll_for_settlement(current);
+        check_lost_primary();
         check_recovery(current);
     }
     answer_zone_requests();
@@ -1621,7 +1666,7 @@
     if (!primary_id_.empty()) {
         return primary_id_;
     }
-    if (settlement_.is_settled_by_former_primary()) {
+    if (settlement_.is_settled_by_former_primary() || settlement_.is_settled_without_primary()) {
         // An entry that claims the lead may be that of a newer primary, which must be asked, or an old one of
         // the former primary.
         return "";
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -205,6 +205,10 @@
     [[nodiscard]] time_point now() const { return clock_(); }
     /// True when no acknowledged commit can exist only on a replica that has left.
     [[nodiscard]] bool is_settled() const { return settlement_.is_settled(); }
+    /// True if the group is also settled for daemons that learn of its members later.
+    [[nodiscard]] bool is_settled_for_others() const {
+        return settlement_.is_settled() && !settlement_.is_settled_without_primary();
+    }
     /// True if the primary is trusted now on evidence that was requested at or after `moment`.
     [[nodiscard]] bool is_trusted_since(time_point moment) const;
     /// Requests evidence that the primary leads.
@@ -286,6 +290,10 @@
     /// that no newer term has been promoted.
     void check_former_primary(const std::string& id, log_position log_end, time_point sent_at);
     void on_settled_by(const std::string& id, log_position position);
+    /// Unsettles the group because an instance has left or lost its log.
+    void unsettle_by(const std::string& id);
+    /// Settles the group, whose primary has left, if the store shows that no newer term has been promoted.
+    void check_lost_primary();
     /// Called when a replica that follows the primary and is not fenced has answered a status call sent at
     /// `sent_at`.
     void on_replica_evidence(const std::string& id, time_point sent_at);
@@ -375,6 +383,9 @@
     time_point witnesses_silent_at_;
     /// Highest position of the present term that a witness has received.
     log_position received_position_;
+    /// The promotion record is being read to learn whether the primary that has left was the last one.
+    bool checking_lost_primary_ = false;
+    time_point lost_primary_checked_at_;
     /// Trust was confirmed by the promotion record because not all replicas answer; it is then renewed before
     /// it expires, since obtaining it again is slow.
     bool trust_from_record_ = false;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -460,7 +460,7 @@
         if (pending.replace_at && now >= *pending.replace_at) {
             pending.replace_at.reset();
             // A member that has left meanwhile may hold the only copy of a commit again.
-            if (members.is_settled()) {
+            if (members.is_settled_for_others()) {
                 record.replace(members.member_keys());
             }
         }
--- a/tests/failover/primary_failure_detector_tests.cpp
+++ b/tests/failover/primary_failure_detector_tests.cpp
@@ -56,11 +56,11 @@
     membership_settlement settlement;
     settlement.unsettle(time_point{10s});
     settlement.on_primary_position({1, 5}, time_point{9s});
-    CHECK(!settlement.on_replica_position({1, 9}));
+    CHECK(!settlement.on_replica_position({1, 9}, false));
     settlement.on_primary_position({1, 8}, time_point{11s});
-    CHECK(!settlement.on_replica_position({1, 7}));
+    CHECK(!settlement.on_replica_position({1, 7}, false));
     CHECK(!settlement.is_settled());
-    CHECK(settlement.on_replica_position({1, 8}));
+    CHECK(settlement.on_replica_position({1, 8}, false));
     CHECK(settlement.is_settled());
     settlement.unsettle(time_point{12s});
     CHECK(!settlement.is_settled());
--- a/tests/proxy/failover_tests.cpp
+++ b/tests/proxy/failover_tests.cpp
@@ -26,6 +26,16 @@
         return limit;
     }
 
+    /// Removes an entry, and takes the store away from when the daemons know of it until they no longer count
+    /// the instance as a member.
+    void unlist_while_nothing_can_be_promoted(const std::string& id) {
+        deployment.unlist(id);
+        deployment.run_for(100ms);
+        deployment.store.is_down = true;
+        deployment.run_for(4s);
+        deployment.store.is_down = false;
+    }
+
     /// Partitions the network: the primary, the draining replica i-4 and the first daemon on one side, all
     /// other instances, the second daemon and the store on the other.
     void cut_zone_with_leaving_replica() {
@@ -273,6 +283,114 @@
     CHECK(deployment.service.violations().empty());
 }
 
+// Guards against a group that stays without a primary because the entry of the old one was removed before it
+// was replaced.
+TEST_CASE_FIXTURE(failover_fixture, "failover_primary_lost_with_its_entry_is_replaced") {
+    CHECK(time_to_write(0, 5s) < 1s);
+    deployment.service.set_up("i-1", false);
+    SUBCASE("while nothing can be promoted") {
+        unlist_while_nothing_can_be_promoted("i-1");
+    }
+    SUBCASE("before it is judged to have failed") {
+        deployment.unlist("i-1");
+    }
+    CHECK(time_to_write(0, failover_target) < failover_target);
+    CHECK(deployment.service.promotions() == 1);
+    CHECK(deployment.service.violations().empty());
+    // The group is settled again, so the next primary can be replaced in the same way.
+    deployment.service.add("i-4");
+    deployment.list("i-4", false);
+    deployment.run_for(3s);
+    const std::string second = deployment.service.leader();
+    deployment.service.set_up(second, false);
+    unlist_while_nothing_can_be_promoted(second);
+    CHECK(time_to_write(0, failover_target) < failover_target);
+    CHECK(deployment.service.promotions() == 2);
+    CHECK(deployment.service.violations().empty());
+}
+
+// Guards against a group that stays without a primary because the old one has started again with nothing.
+TEST_CASE_FIXTURE(failover_fixture, "failover_primary_restarted_without_log_is_replaced") {
+    CHECK(time_to_write(0, 5s) < 1s);
+    deployment.service.set_up("i-1", false);
+    deployment.run_for(60ms);
+    deployment.restart_without_log("i-1");
+    CHECK(time_to_write(0, failover_target) < failover_target);
+    CHECK(deployment.service.promotions() == 1);
+    CHECK(deployment.service.leader() != "i-1");
+    CHECK(deployment.service.violations().empty());
+}
+
+// Guards against a promotion without the only member that holds a commit, after two primaries were lost.
+TEST_CASE_FIXTURE(failover_fixture, "failover_second_lost_primary_with_only_copy_is_not_replaced") {
+    deployment.service.set_cut("i-1", "i-3", true);
+    CHECK(time_to_write(0, 5s) < 1s);
+    deployment.service.set_up("i-1", false);
+    unlist_while_nothing_can_be_promoted("i-1");
+    deployment.service.set_cut("i-2", "i-3", true);
+    for (int step = 0; step < 600 && deployment.service.promotions() == 0; ++step) {
+        deployment.run_for(25ms);
+    }
+    REQUIRE(deployment.service.leader() == "i-2");
+    SUBCASE("its entry remains") {
+        deployment.service.set_up("i-2", false);
+    }
+    SUBCASE("its entry is removed") {
+        deployment.service.set_up("i-2", false);
+        unlist_while_nothing_can_be_promoted("i-2");
+    }
+    SUBCASE("its entry is removed after it has led for some time") {
+        deployment.run_for(2s);
+        deployment.service.set_up("i-2", false);
+        unlist_while_nothing_can_be_promoted("i-2");
+    }
+    SUBCASE("all daemons restart") {
+        deployment.service.set_up("i-2", false);
+        for (std::size_t proxy = 0; proxy < 2; ++proxy) {
+            deployment.kill(proxy);
+        }
+        deployment.run_for(1s);
+        for (std::size_t proxy = 0; proxy < 2; ++proxy) {
+            deployment.start(proxy);
+        }
+    }
+    deployment.run_for(failover_target);
+    CHECK(deployment.service.promotions() == 1);
+    CHECK(deployment.service.violations().empty());
+}
+
+// Guards against a daemon that takes a former primary for the last one, as it has not seen a promotion: with
+// it the only other copy of a commit of the newer primary has gone.
+TEST_CASE_FIXTURE(failover_fixture, "failover_lost_former_primary_unsettles_daemon_that_missed_a_promotion") {
+    CHECK(time_to_write(0, 5s) < 1s);
+    for (const char* instance : {"i-1", "i-2", "i-3"}) {
+        deployment.cut(0, instance, true);
+    }
+    deployment.service.set_up("i-1", false);
+    for (int step = 0; step < 600 && deployment.service.promotions() == 0; ++step) {
+        deployment.run_for(25ms);
+    }
+    const std::string newer = deployment.service.leader();
+    REQUIRE(newer != "i-1");
+    const std::string other = newer == "i-2" ? "i-3" : "i-2";
+    // The next commit reaches the former primary only.
+    deployment.service.set_up("i-1", true);
+    deployment.service.set_cut(newer, other, true);
+    CHECK(time_to_write(1, 5s) < 5s);
+    deployment.service.set_up("i-1", false);
+    deployment.unlist("i-1");
+    deployment.service.set_up(newer, false);
+    SUBCASE("the entry of the newer one remains") {}
+    SUBCASE("the entry of the newer one is removed") {
+        deployment.unlist(newer);
+    }
+    deployment.kill(1);
+    deployment.cut(0, other, false);
+    deployment.run_for(failover_target);
+    CHECK(deployment.service.promotions() == 1);
+    CHECK(deployment.service.violations().empty());
+}
+
 // Guards against a promotion after the only replica that holds a commit has restarted without its log.
 TEST_CASE_FIXTURE(failover_fixture, "failover_replica_with_only_copy_restarted_waits_for_old_primary") {
     deployment.service.set_cut("i-1", "i-2", true);
