relay: content_exchange keeps no log of its own

What callers saw: scripts/fuzz doesn't build relay_message_fuzzer: clang refuses an unused private field (content_exchange.h, log_). Cause: the field was left when sender and receiver took the log. g++, which builds the product, does not warn about it, and the fuzz targets had not been built since. Ruled out: other uses of the field. Change: the field is gone; no decision changes. Measured: relay_tests pass, 69 of 69; clang and g++ accept content_exchange.cpp and state_relay.cpp. content_message_fuzzer, 20,000 runs before this change: nothing found. relay_message_fuzzer was not run.

--- a/gentianhill/relay/content_exchange.cpp
+++ b/gentianhill/relay/content_exchange.cpp
@@ -42,7 +42,6 @@
                                    metrics& registry, const std::string& name)
     : settings_(settings),
       port_(port),
-      log_(log),
       contents_(settings.cache),
       sender_(settings.sender, contents_, log, registry),
       receiver_(settings.receiver, contents_, port.fetch_content, log, registry, name) {
--- a/gentianhill/relay/content_exchange.h
+++ b/gentianhill/relay/content_exchange.h
@@ -96,7 +96,6 @@
 
     content_exchange_settings settings_;
     relay_port& port_;
-    logger& log_;
     content_cache contents_;
     content_sender sender_;
     content_receiver receiver_;
