--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -1,68 +1,77 @@
-// The holder of the duty is cut off from the promotion call and freezes; its call arrives when the cut heals,
-// after another holder has promoted.
+// A daemon that owns a group is killed and restarted while a client of another daemon pauses in a
+// transaction.
 
 #include "review/stand-ins-3/small_deployment.h"
 
-#include <csignal>
-
 using namespace review;
 
 namespace {
 
-constexpr std::size_t max_connections = 28;
 constexpr milliseconds answer_limit{3000};
+constexpr std::size_t max_connections = 10;
+constexpr std::size_t later_clients = 3;
+
+std::string client_of(const std::string& id) {
+    return id.substr(0, id.rfind('-'));
+}
+
+/// The daemon of the zone that hands the statements of its clients on to the other.
+edge_process* find_guest(small_deployment& played, edge_process& first, edge_process& second) {
+    for (edge_process* asked : {&first, &second}) {
+        client probe(played.loop, played.record, "probe", asked->client_port(), "latest");
+        probe.ask("READ probe", answer_limit);
+        const std::string text = fetch(played.loop, asked->admin_port(), "/metrics");
+        if (metric(text, "gentianhill_statements_handed_on_total") > 0) {
+            return asked;
+        }
+    }
+    return nullptr;
+}
 
 bool play(small_deployment& played) {
-    client writer(played.loop, played.record, "writer", played.daemons[0]->client_port(), "latest");
-    if (writer.ask("WRITE order-1 data", answer_limit).find("COMPLETE") == std::string::npos) {
+    edge_process& first = *played.daemons[0];
+    edge_process& second = *played.daemons[1];
+    // The list of daemons counts once it has been steady for a second.
+    played.loop.run_for(milliseconds(2500));
+    edge_process* guest = find_guest(played, first, second);
+    if (guest == nullptr) {
+        played.record.line("no daemon hands statements on");
         return false;
     }
-    played.loop.run_for(milliseconds(1500));
-    std::string holder;
-    played.store.on_write = [&](const std::string& kind, const std::string& name,
-                                const nlohmann::json& spec) {
-        if (spec.contains("holder")) {
-            played.record.line("store takes the write of " + kind + "/" + name + " " + spec.dump());
-            if (holder.empty() && spec.value("active", false)) {
-                holder = spec.at("holder");
-            }
-        }
-    };
-    played.service.set_up("i-1", false);
-    played.stop_heartbeat("i-1");
-    if (!played.loop.run_until([&] { return !holder.empty(); }, milliseconds(8000))) {
+    edge_process& owner = guest == &first ? second : first;
+    played.record.line("daemon " + guest->name() + " hands statements on to " + owner.name());
+
+    client early(played.loop, played.record, "early", guest->client_port(), "latest");
+    early.ask("BEGIN", answer_limit);
+    if (early.ask("WRITE order-1 early-data", answer_limit).rfind("COMPLETE", 0) != 0) {
         return false;
     }
-    std::size_t index = 0;
-    while (played.daemons[index]->name() != holder) {
-        ++index;
+    const clock_type::time_point paused_at = clock_type::now();
+    if (has_trouble()) {
+        played.record.line("daemon " + owner.name() + " is killed");
+        owner.kill_now();
+        played.loop.run_for(milliseconds(200));
+        played.record.line("daemon " + owner.name() + " starts again");
+        owner.start();
+        played.loop.run_for(milliseconds(900));
     }
-    edge_process& frozen = *played.daemons[index];
-    cut_link& link = *played.promotion_links[index];
-    if (!has_trouble()) {
-        return played.loop.run_until([&] { return !played.calls.empty(); }, milliseconds(8000));
+    std::vector<std::unique_ptr<client>> later;
+    for (std::size_t i = 0; i < later_clients; ++i) {
+        later.push_back(std::make_unique<client>(played.loop, played.record, "later" + std::to_string(i + 1),
+                                                 guest->client_port(), "latest"));
+        later.back()->ask("BEGIN", answer_limit);
+        later.back()->ask("WRITE order-" + std::to_string(i + 2) + " later-data", answer_limit);
     }
-    played.record.line("the way from " + holder + " to the promotion call is cut");
-    link.cut();
-    const clock_type::time_point cut_at = clock_type::now();
-    if (!played.loop.run_until([&] { return link.holds_bytes(); }, milliseconds(3000))) {
-        return false;
+    played.record.line(
+        "client early has paused for " +
+        std::to_string(std::chrono::duration_cast<milliseconds>(clock_type::now() - paused_at).count()) +
+        " ms of the 3000 that TxIdleMs allows");
+    early.ask("WRITE order-1 more-early-data", answer_limit);
+    early.ask("COMMIT", answer_limit);
+    for (const std::unique_ptr<client>& each : later) {
+        each->ask("ROLLBACK", answer_limit);
     }
-    played.record.line("daemon " + holder + " has sent its call, which is held up; the daemon freezes");
-    const clock_type::time_point frozen_at = clock_type::now();
-    frozen.signal(SIGSTOP);
-    const bool is_called = played.loop.run_until([&] { return !played.calls.empty(); }, milliseconds(5400));
-    played.loop.run_for(milliseconds(20));
-    link.heal();
-    const auto since = [](clock_type::time_point moment) {
-        return std::to_string(std::chrono::duration_cast<milliseconds>(clock_type::now() - moment).count());
-    };
-    played.record.line("the cut heals after " + since(cut_at) + " ms");
-    played.loop.run_for(milliseconds(20));
-    frozen.signal(SIGCONT);
-    played.record.line("daemon " + holder + " wakes after " + since(frozen_at) + " ms");
-    played.loop.run_for(milliseconds(3000));
-    return is_called;
+    return true;
 }
 
 } // namespace
@@ -70,18 +79,22 @@
 int main(int, char** arguments) {
     small_deployment played(std::string(arguments[1]) + "/record.txt", max_connections,
                             {"kingston-a", "kingston-a", "kingston-b", "kingston-b"});
-    if (!played.start() || !play(played)) {
-        return exit_not_run;
-    }
     bool broken = false;
-    for (std::size_t i = 1; i < played.calls.size(); ++i) {
-        if (played.calls[i].second < played.calls[i - 1].second) {
-            broken = true;
-            played.record.line("BROKEN ONE: the call of " + played.calls[i].first + " carries the token " +
-                               std::to_string(played.calls[i].second) + " after " +
-                               std::to_string(played.calls[i - 1].second) + " of " +
-                               played.calls[i - 1].first);
+    played.service.on_run = [&](const std::string& instance, std::uint64_t connection,
+                                const std::vector<std::string>& transaction, const std::string& id,
+                                const std::string&) {
+        for (const std::string& earlier : transaction) {
+            if (client_of(earlier) != client_of(id)) {
+                broken = true;
+                std::string found = "BROKEN PINNED: " + id;
+                found += " runs inside the transaction of " + earlier;
+                found += ", at " + instance + " on connection " + std::to_string(connection);
+                played.record.line(found);
+            }
         }
+    };
+    if (!played.start() || !play(played)) {
+        return exit_not_run;
     }
     played.record.line(broken ? "the rule was broken" : "the rule held");
     return broken ? exit_broken : exit_held;
