--- a/review/stand-ins-3/database_service.cpp
+++ b/review/stand-ins-3/database_service.cpp
@@ -58,6 +58,7 @@
         const std::shared_ptr<connection> opened = std::make_shared<connection>();
         opened->number = ++last_connection_;
         opened->socket = std::make_shared<channel>(loop_, descriptor);
+        opened->peer_port = peer_port_of(descriptor);
         const std::weak_ptr<connection> from = opened;
         opened->socket->on_input = [this, served, from] {
             if (const std::shared_ptr<connection> open = from.lock()) {
@@ -80,6 +81,33 @@
     });
 }
 
+bool database_service::is_cut(const instance& target, const connection& from) const {
+    return std::any_of(cuts_.begin(), cuts_.end(), [&](const std::pair<std::string, pid_t>& cut) {
+        return cut.first == target.id && holds_port(cut.second, from.peer_port);
+    });
+}
+
+void database_service::set_cut(const std::string& id, pid_t process, bool is_cut) {
+    if (is_cut) {
+        cuts_.emplace(id, process);
+        return;
+    }
+    cuts_.erase({id, process});
+    instance& target = *instances_.at(id);
+    const std::map<std::uint64_t, std::shared_ptr<connection>> open = target.connections;
+    for (const auto& [number, each] : open) {
+        send(target, *each, "");
+        on_input(target, each);
+    }
+}
+
+void database_service::send(const instance& target, connection& to, const std::string& bytes) {
+    to.held += bytes;
+    if (!to.held.empty() && !is_cut(target, to)) {
+        to.socket->send(std::exchange(to.held, {}));
+    }
+}
+
 void database_service::set_up(const std::string& id, bool up) {
     instance& target = *instances_.at(id);
     if (target.up == up) {
@@ -127,6 +155,9 @@
 
 void database_service::on_input(instance& target, const std::shared_ptr<connection>& from) {
     std::string& input = from->socket->input;
+    if (!input.empty() && is_cut(target, *from)) {
+        return;
+    }
     for (std::size_t end = input.find("\r\n"); end != std::string::npos; end = input.find("\r\n")) {
         from->queued.push_back(input.substr(0, end));
         input.erase(0, end + 2);
@@ -144,7 +175,7 @@
 
 void database_service::answer(instance& target, const std::shared_ptr<connection>& from,
                               const std::string& lines) {
-    from->socket->send(lines + "\r\nREADY " + from->state + " " + position_of(target) + "\r\n");
+    send(target, *from, lines + "\r\nREADY " + from->state + " " + position_of(target) + "\r\n");
 }
 
 void database_service::answer_signed(instance& target, const std::shared_ptr<connection>& from,
@@ -172,7 +203,7 @@
             return;
         }
         from->started = true;
-        from->socket->send("READY I " + position_of(target) + "\r\n");
+        send(target, *from, "READY I " + position_of(target) + "\r\n");
         return;
     }
     if (kind != "QUERY" || !from->started) {
--- a/review/stand-ins-3/database_service.h
+++ b/review/stand-ins-3/database_service.h
@@ -8,7 +8,10 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <sys/types.h>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -39,6 +42,9 @@
     void set_up(const std::string& id, bool up);
     /// An instance receives nothing from a primary, or does so again.
     void set_deaf(const std::string& id, bool deaf);
+    /// Cuts the way between an instance and a process, or heals it. Bytes that are held up arrive when it
+    /// heals, unless the process has reset the connection.
+    void set_cut(const std::string& id, pid_t process, bool is_cut);
     [[nodiscard]] bool leads(const std::string& id) const { return instances_.at(id)->primary; }
     [[nodiscard]] std::uint64_t term_of(const std::string& id) const { return instances_.at(id)->term; }
     /// Texts of the commits in an instance's log: the client statement or commit that made each.
@@ -61,6 +67,9 @@
     struct connection {
         std::uint64_t number = 0;
         std::shared_ptr<channel> socket;
+        std::uint16_t peer_port = 0;
+        /// What the process does not get while the way to it is cut.
+        std::string held;
         bool started = false;
         char state = 'I';
         bool reads_only = false;
@@ -95,6 +104,8 @@
     };
 
     void open_listener(instance& target);
+    [[nodiscard]] bool is_cut(const instance& target, const connection& from) const;
+    void send(const instance& target, connection& to, const std::string& bytes);
     void on_input(instance& target, const std::shared_ptr<connection>& from);
     void next(instance& target, const std::shared_ptr<connection>& from);
     void execute(instance& target, const std::shared_ptr<connection>& from, const std::string& line);
@@ -115,6 +126,7 @@
     std::string name_;
     service_times times_;
     std::map<std::string, std::unique_ptr<instance>> instances_;
+    std::set<std::pair<std::string, pid_t>> cuts_;
     std::uint64_t last_connection_ = 0;
     std::uint64_t last_signature_ = 0;
     std::uint64_t newest_term_ = 1;
--- a/review/stand-ins-3/event_poll.cpp
+++ b/review/stand-ins-3/event_poll.cpp
@@ -4,9 +4,13 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -195,6 +199,44 @@
     return descriptor;
 }
 
+std::uint16_t peer_port_of(int descriptor) {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getpeername(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+bool holds_port(pid_t process, std::uint16_t port) {
+    constexpr int hexadecimal = 16;
+    std::ifstream table("/proc/net/tcp");
+    std::string socket_name;
+    std::string line;
+    std::getline(table, line);
+    while (socket_name.empty() && std::getline(table, line)) {
+        std::istringstream fields(line);
+        std::string slot;
+        std::string local;
+        std::string other;
+        fields >> slot >> local;
+        if (std::strtoul(local.c_str() + local.find(':') + 1, nullptr, hexadecimal) == port) {
+            // The inode is the tenth field.
+            for (int index = 0; index < 8; ++index) {
+                fields >> other;
+            }
+            socket_name = "socket:[" + other + "]";
+        }
+    }
+    std::error_code failed;
+    std::filesystem::directory_iterator entry("/proc/" + std::to_string(process) + "/fd", failed);
+    for (; !failed && entry != std::filesystem::directory_iterator(); entry.increment(failed)) {
+        std::error_code gone;
+        if (std::filesystem::read_symlink(entry->path(), gone) == socket_name) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::uint16_t free_port() {
     std::uint16_t port = 0;
     const int descriptor = listen_on_loopback(port, 1);
--- a/review/stand-ins-3/event_poll.h
+++ b/review/stand-ins-3/event_poll.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <sys/types.h>
 
 namespace review {
 
@@ -76,6 +77,10 @@
 void accept_all(event_poll& loop, int listener, const std::function<void(int descriptor)>& on_accept);
 /// Begins to connect to a port of 127.0.0.1; returns the descriptor.
 int connect_to_loopback(std::uint16_t port);
+/// Port of the other side of a connection.
+std::uint16_t peer_port_of(int descriptor);
+/// True if a process holds a TCP socket with that local port.
+bool holds_port(pid_t process, std::uint16_t port);
 /// A port of 127.0.0.1 that is free now.
 std::uint16_t free_port();
 
--- a/review/stand-ins-3/small_deployment.cpp
+++ b/review/stand-ins-3/small_deployment.cpp
@@ -77,7 +77,9 @@
                    {"HeaderTimeoutMs", 3000},
                    {"IdleTimeoutMs", 15000},
                    {"TxIdleMs", 3000}}}});
+    std::size_t zone_index = 0;
     for (const char* id : {"i-1", "i-2", "i-3"}) {
+        zones_[id] = zones.at(zone_index++ % zones.size());
         ports_[id] = service.add(id);
         beating_[id] = true;
         beat(id);
@@ -85,9 +87,11 @@
     std::size_t number = 0;
     for (const std::string& zone : zones) {
         const std::string name = "edge-" + zone + "-" + std::to_string(++number);
+        store_links.push_back(std::make_unique<cut_link>(loop, store.port()));
         promotion_links.push_back(std::make_unique<cut_link>(loop, promotion.port()));
         daemons.push_back(std::make_unique<edge_process>(
-            name, zone, edge_process::surroundings{store.port(), promotion_links.back()->port(), folder}));
+            name, zone,
+            edge_process::surroundings{store_links.back()->port(), promotion_links.back()->port(), folder}));
     }
 }
 
@@ -103,7 +107,7 @@
     store.write("servers", id,
                 {{"Backend", service_name},
                  {"Address", "127.0.0.1:" + std::to_string(ports_.at(id))},
-                 {"Zone", "kingston-a"},
+                 {"Zone", zones_.at(id)},
                  {"Version", "v1"},
                  {"Capacity", slots},
                  {"State", "ready"},
@@ -118,9 +122,37 @@
         return;
     }
     write_entry(id);
+    beaten_at_[id] = clock_type::now();
     loop.call_after(heartbeat, [this, id] { beat(id); });
 }
 
+void small_deployment::cut_from_store(const std::string& id, milliseconds length, milliseconds return_delay,
+                                      const std::function<void()>& on_cut) {
+    constexpr milliseconds lead{50};
+    const clock_type::time_point last = beaten_at_.at(id);
+    const auto passed = std::chrono::duration_cast<milliseconds>(clock_type::now() - last);
+    // The heartbeat after the next one, if that is too near.
+    if (passed > heartbeat - 2 * lead) {
+        loop.call_after(2 * lead + lead, [=, this] { cut_from_store(id, length, return_delay, on_cut); });
+        return;
+    }
+    loop.call_after(heartbeat - lead - passed, [=, this] {
+        record.line("instance " + id + " is partitioned from the store");
+        beating_[id] = false;
+        on_cut();
+        loop.call_after(2 * heartbeat + lead, [this, id] {
+            record.line("store removes the entry of " + id + ", silent for three heartbeats");
+            store.remove("servers", id);
+        });
+        loop.call_after(length, [this, id] { record.line("instance " + id + " reaches the store again"); });
+        loop.call_after(length + return_delay, [this, id] {
+            record.line("instance " + id + " writes its entry");
+            beating_[id] = true;
+            beat(id);
+        });
+    });
+}
+
 void small_deployment::stop_heartbeat(const std::string& id) {
     beating_[id] = false;
     loop.call_after(3 * heartbeat, [this, id] {
--- a/review/stand-ins-3/small_deployment.h
+++ b/review/stand-ins-3/small_deployment.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,6 +29,11 @@
     bool start();
     /// Stops writing the entry of an instance; it is removed after three heartbeats.
     void stop_heartbeat(const std::string& id);
+    /// Partitions an instance from the store for a time, from just before its next heartbeat. Its entry is
+    /// removed three heartbeats after the last one, and written again `return_delay` after the cut has
+    /// healed.
+    void cut_from_store(const std::string& id, milliseconds length, milliseconds return_delay,
+                        const std::function<void()>& on_cut);
 
     event_poll loop;
     std::string folder;
@@ -38,6 +44,8 @@
     std::vector<std::unique_ptr<edge_process>> daemons;
     /// The way of each daemon to the platform's promotion call.
     std::vector<std::unique_ptr<cut_link>> promotion_links;
+    /// The way of each daemon to the platform's store.
+    std::vector<std::unique_ptr<cut_link>> store_links;
     /// Promotion calls in the order of their arrival: the holder, and its fencing token.
     std::vector<std::pair<std::string, std::uint64_t>> calls;
 
@@ -50,6 +58,8 @@
     std::map<std::string, std::uint16_t> ports_;
     std::map<std::string, std::uint64_t> sequences_;
     std::map<std::string, bool> beating_;
+    std::map<std::string, clock_type::time_point> beaten_at_;
+    std::map<std::string, std::string> zones_;
     std::int64_t born_ms_;
 };
 
