--- a/review/stand-ins-3/event_poll.cpp
+++ b/review/stand-ins-3/event_poll.cpp
@@ -238,10 +238,15 @@
 }
 
 std::uint16_t free_port() {
-    std::uint16_t port = 0;
-    const int descriptor = listen_on_loopback(port, 1);
-    ::close(descriptor);
-    return port;
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int enable = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof enable);
+    sockaddr_in address = loopback_address(0);
+    socklen_t size = sizeof address;
+    bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    // The descriptor stays open, so that nobody else is given the port.
+    return ntohs(address.sin_port);
 }
 
 } // namespace review
--- a/review/stand-ins-3/event_poll.h
+++ b/review/stand-ins-3/event_poll.h
@@ -81,7 +81,7 @@
 std::uint16_t peer_port_of(int descriptor);
 /// True if a process holds a TCP socket with that local port.
 bool holds_port(pid_t process, std::uint16_t port);
-/// A port of 127.0.0.1 that is free now.
+/// A port of 127.0.0.1 that is free, reserved for a process that allows the reuse of addresses.
 std::uint16_t free_port();
 
 } // namespace review
