--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -1,8 +1,11 @@
-// A daemon that owns a group is killed and restarted while a client of another daemon pauses in a
+// A daemon that owns a group is stopped and started again while a client of another daemon pauses in a
 // transaction.
 
 #include "review/stand-ins-3/small_deployment.h"
 
+#include <csignal>
+#include <cstdlib>
+
 using namespace review;
 
 namespace {
@@ -15,15 +18,26 @@
     return id.substr(0, id.rfind('-'));
 }
 
-/// The daemon of the zone that hands the statements of its clients on to the other.
+/// True if the daemon is to be stopped by plan; with STOP=kill it is killed.
+bool is_planned() {
+    const char* stop = std::getenv("STOP");
+    return stop == nullptr || std::string(stop) != "kill";
+}
+
+/// The daemon of the zone that hands the statements of its clients on to the other; null if none does in
+/// time.
 edge_process* find_guest(small_deployment& played, edge_process& first, edge_process& second) {
-    for (edge_process* asked : {&first, &second}) {
-        client probe(played.loop, played.record, "probe", asked->client_port(), "latest");
-        probe.ask("READ probe", answer_limit);
-        const std::string text = fetch(played.loop, asked->admin_port(), "/metrics");
-        if (metric(text, "gentianhill_statements_handed_on_total") > 0) {
-            return asked;
+    constexpr int rounds = 10;
+    for (int round = 0; round < rounds; ++round) {
+        for (edge_process* asked : {&first, &second}) {
+            client probe(played.loop, played.record, "probe", asked->client_port(), "latest");
+            probe.ask("READ probe", answer_limit);
+            const std::string text = fetch(played.loop, asked->admin_port(), "/metrics");
+            if (metric(text, "gentianhill_statements_handed_on_total") > 0) {
+                return asked;
+            }
         }
+        played.loop.run_for(milliseconds(500));
     }
     return nullptr;
 }
@@ -46,14 +60,26 @@
     if (early.ask("WRITE order-1 early-data", answer_limit).rfind("COMPLETE", 0) != 0) {
         return false;
     }
-    const clock_type::time_point paused_at = clock_type::now();
+    clock_type::time_point paused_at = clock_type::now();
     if (has_trouble()) {
-        played.record.line("daemon " + owner.name() + " is killed");
-        owner.kill_now();
+        if (is_planned()) {
+            played.record.line("daemon " + owner.name() + " gets SIGTERM");
+            owner.signal(SIGTERM);
+            // The owner lets open transactions go on for half of its grace time.
+            played.loop.run_for(milliseconds(2500));
+            early.ask("READ order-1", answer_limit);
+            paused_at = clock_type::now();
+            if (!played.loop.run_until([&owner] { return !owner.is_running(); }, milliseconds(6000))) {
+                return false;
+            }
+        } else {
+            played.record.line("daemon " + owner.name() + " is killed");
+            owner.kill_now();
+        }
         played.loop.run_for(milliseconds(200));
         played.record.line("daemon " + owner.name() + " starts again");
         owner.start();
-        played.loop.run_for(milliseconds(900));
+        played.loop.run_for(milliseconds(is_planned() ? 1650 : 900));
     }
     std::vector<std::unique_ptr<client>> later;
     for (std::size_t i = 0; i < later_clients; ++i) {
