--- a/review/stand-ins-3/small_deployment.cpp
+++ b/review/stand-ins-3/small_deployment.cpp
@@ -79,10 +79,7 @@
                    {"TxIdleMs", 3000}}}});
     std::size_t zone_index = 0;
     for (const char* id : {"i-1", "i-2", "i-3"}) {
-        zones_[id] = zones.at(zone_index++ % zones.size());
-        ports_[id] = service.add(id);
-        beating_[id] = true;
-        beat(id);
+        add_instance(id, zones.at(zone_index++ % zones.size()));
     }
     std::size_t number = 0;
     for (const std::string& zone : zones) {
@@ -103,6 +100,19 @@
     }
 }
 
+void small_deployment::add_instance(const std::string& id, const std::string& zone) {
+    zones_[id] = zone;
+    ports_[id] = service.add(id);
+    beating_[id] = true;
+    beat(id);
+}
+
+void small_deployment::drain(const std::string& id) {
+    record.line("instance " + id + " reports that it is draining");
+    draining_.insert(id);
+    write_entry(id);
+}
+
 void small_deployment::write_entry(const std::string& id) {
     store.write("servers", id,
                 {{"Backend", service_name},
@@ -110,7 +120,7 @@
                  {"Zone", zones_.at(id)},
                  {"Version", "v1"},
                  {"Capacity", slots},
-                 {"State", "ready"},
+                 {"State", draining_.count(id) > 0 ? "draining" : "ready"},
                  {"WarmupLeftMs", 0},
                  {"DbRole", service.leads(id) ? "primary" : "replica"},
                  {"Sequence", ++sequences_[id]},
--- a/review/stand-ins-3/small_deployment.h
+++ b/review/stand-ins-3/small_deployment.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +28,10 @@
 
     /// Starts the daemons and waits until all are ready and one has answered a read; false if that fails.
     bool start();
+    /// Starts another instance, which registers at once and follows the primary.
+    void add_instance(const std::string& id, const std::string& zone);
+    /// An instance reports that it is draining.
+    void drain(const std::string& id);
     /// Stops writing the entry of an instance; it is removed after three heartbeats.
     void stop_heartbeat(const std::string& id);
     /// Partitions an instance from the store for a time, from just before its next heartbeat. Its entry is
@@ -60,6 +65,7 @@
     std::map<std::string, bool> beating_;
     std::map<std::string, clock_type::time_point> beaten_at_;
     std::map<std::string, std::string> zones_;
+    std::set<std::string> draining_;
     std::int64_t born_ms_;
 };
 
