--- a/review/stand-ins-3/event_poll.cpp
+++ b/review/stand-ins-3/event_poll.cpp
@@ -243,8 +243,11 @@
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof enable);
     sockaddr_in address = loopback_address(0);
     socklen_t size = sizeof address;
-    bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    const bool is_bound = bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+                          getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+    if (!is_bound) {
+        return 0;
+    }
     // The descriptor stays open, so that nobody else is given the port.
     return ntohs(address.sin_port);
 }
