--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t max_connections = 28;
+constexpr std::size_t max_connections = 34;
 constexpr const char* old_primary = "i-1";
 /// Sorts before the other ids, so that of equal logs its own is chosen.
 constexpr const char* newcomer = "i-0";
@@ -22,7 +22,7 @@
 
 int main(int, char** arguments) {
     small_deployment played(std::string(arguments[1]) + "/record.txt", max_connections,
-                            {"kingston-a", "kingston-b", "spanish-town", "may-pen"});
+                            {"kyushu-b", "kyushu-a", "kyushu-c", "kyushu-a"});
     acknowledged_commits acknowledged(played);
     if (!played.start()) {
         return exit_not_run;
@@ -43,7 +43,7 @@
     }
     acknowledged.play(milliseconds(50));
     played.record.line("instance " + std::string(newcomer) + " starts, to replace " + old_primary);
-    played.add_instance(newcomer, "kingston-b");
+    played.add_instance(newcomer, "kyushu-a");
     acknowledged.play(drain_delay);
     played.drain(old_primary);
     bool is_cut = false;
--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -12,7 +12,7 @@
 
 constexpr milliseconds answer_limit{3000};
 constexpr std::size_t max_connections = 10;
-constexpr std::size_t later_clients = 3;
+constexpr std::size_t later_clients = 2;
 
 std::string client_of(const std::string& id) {
     return id.substr(0, id.rfind('-'));
@@ -104,7 +104,7 @@
 
 int main(int, char** arguments) {
     small_deployment played(std::string(arguments[1]) + "/record.txt", max_connections,
-                            {"kingston-a", "kingston-a", "kingston-b", "kingston-b"});
+                            {"kyushu-a", "kyushu-a", "kyushu-b", "kyushu-c"});
     bool broken = false;
     played.service.on_run = [&](const std::string& instance, std::uint64_t connection,
                                 const std::vector<std::string>& transaction, const std::string& id,
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -9,8 +9,12 @@
     echo "not built: run the build of deploy/system.toml and review/build-3.sh" >&2
     exit 2
 fi
-timeout --kill-after=5 110 "$program" "review/$number"
-result=$?
+# At times the setting does not come about (not traced); the case is then played again, three times in all at most.
+for _ in 1 2 3; do
+    timeout --kill-after=5 30 "$program" "review/$number"
+    result=$?
+    case $result in 0 | 1) break ;; esac
+done
 case $result in
 0 | 1) exit "$result" ;;
 *) exit 2 ;;
--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t max_connections = 28;
+constexpr std::size_t max_connections = 34;
 constexpr milliseconds store_cut_length{5000};
 /// "back within about two seconds", says the page of entries that had expired.
 constexpr milliseconds entry_return_delay{1900};
@@ -23,7 +23,7 @@
 
 int main(int, char** arguments) {
     small_deployment played(std::string(arguments[1]) + "/record.txt", max_connections,
-                            {"kingston-a", "kingston-b", "spanish-town", "may-pen"});
+                            {"kyushu-b", "kyushu-a", "kyushu-c", "kyushu-a"});
     acknowledged_commits acknowledged(played);
     if (!played.start()) {
         return exit_not_run;
--- a/review/stand-ins-3/database_service.h
+++ b/review/stand-ins-3/database_service.h
@@ -16,14 +16,14 @@
 
 namespace review {
 
-/// Times of a service, as the users' pages give them for a small deployment.
+/// Times of a service, as the users' pages give them for rimworks-kyushu.
 struct service_times {
     milliseconds replication{2};
-    milliseconds work{3};
-    milliseconds promotion{1000};
+    milliseconds work{11};
+    milliseconds promotion{600};
     /// A superseded primary follows this long after it can reach the new one.
     milliseconds follow{1000};
-    std::size_t max_connections = 28;
+    std::size_t max_connections = 34;
 };
 
 /// A replicated database service over the wire protocol of the instances, by its published page. The first
--- a/review/stand-ins-3/small_deployment.cpp
+++ b/review/stand-ins-3/small_deployment.cpp
@@ -9,7 +9,7 @@
 
 constexpr milliseconds heartbeat{1200};
 constexpr milliseconds start_limit{20000};
-constexpr int slots = 2;
+constexpr int slots = 5;
 constexpr int done = 200;
 constexpr int not_running = 409;
 
@@ -77,10 +77,9 @@
                    {"HeaderTimeoutMs", 3000},
                    {"IdleTimeoutMs", 15000},
                    {"TxIdleMs", 3000}}}});
-    std::size_t zone_index = 0;
-    for (const char* id : {"i-1", "i-2", "i-3"}) {
-        add_instance(id, zones.at(zone_index++ % zones.size()));
-    }
+    add_instance("i-1", "kyushu-a");
+    add_instance("i-2", "kyushu-b");
+    add_instance("i-3", "kyushu-c");
     std::size_t number = 0;
     for (const std::string& zone : zones) {
         const std::string name = "edge-" + zone + "-" + std::to_string(++number);
--- a/review/stand-ins-3/small_deployment.h
+++ b/review/stand-ins-3/small_deployment.h
@@ -15,8 +15,9 @@
 
 namespace review {
 
-/// A small deployment: the platform's store and promotion call, one service of three instances, and daemons.
-/// The databases `latest`, `bounded` and `own` are its three kinds of route.
+/// A small deployment with the figures of rimworks-kyushu: the platform's store and promotion call, one
+/// service of three instances, and daemons. The databases `latest`, `bounded` and `own` are its three kinds
+/// of route.
 class small_deployment {
 public:
     /// `zones` names the zone of each daemon.
