failover: a replica that an old entry calls primary is fenced like the others

Acknowledged commits are missing in the log of the instance that is promoted; at times STALE.

Cause: while no primary is known, the only instance whose entry claims the lead was taken for the primary and left out of the fences, although it had said in its answers that it follows a newer term. The newer primary went on acknowledging through it, and other daemons confirmed these commits, as the replica truthfully said that it is not fenced. Two related gaps: the list that is read under the duty was compared by id only, and the promotion went on after its daemon had found a primary.

Ruled out: the other daemons did not believe the replica for too long (it was never fenced); the newcomer was not passed over (its entry had lapsed, and as the leader of the newest term it need not be fenced).

Change: only an instance that is known from its own answers to have led the newest term is left out at once. One whose entry claims the lead is asked with the replicas, and is a replica if it says so, or if it is silent and its present entry says so. An old primary is asked once more beside the fences whether it follows a newer term.

--- a/gentianhill/failover/fenced_promotion.cpp
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -10,10 +10,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::array<std::string_view, 12> outcome_names{
-    "promoted",          "superseded",    "replica_unreachable", "members_unknown",
-    "still_replicating", "duty_refused",  "members_not_settled", "fence_lost",
-    "tenure_over",       "call_rejected", "outcome_unknown",     "fences_released"};
+constexpr std::array<std::string_view, 13> outcome_names{
+    "promoted",        "superseded",          "replica_unreachable", "members_unknown", "still_replicating",
+    "duty_refused",    "members_not_settled", "fence_lost",          "tenure_over",     "call_rejected",
+    "outcome_unknown", "fences_released",     "primary_found"};
 
 /// Time between two status queries that show whether a primary that is unreachable from here still
 /// replicates.
@@ -34,20 +34,23 @@
 void fenced_promotion::start(std::vector<promotion_member> members, const std::string& old_primary,
                              term_number known_term, primary_verdict verdict, bool replace_if_replicating,
                              std::function<void(fenced_promotion_outcome, const std::string& id)> done) {
-    old_primary_ = old_primary;
+    const bool has_led = !old_primary.empty() && hooks_.has_led(old_primary);
+    old_primary_ = has_led ? old_primary : "";
+    claimant_ = has_led ? "" : old_primary;
     known_term_ = known_term;
     verdict_ = verdict;
     replace_if_replicating_ = replace_if_replicating;
     on_finished_ = std::move(done);
     started_at_ = hooks_.now();
     for (promotion_member& member : members) {
-        if (member.id != old_primary) {
+        if (member.id != old_primary_) {
             replicas_.push_back(std::move(member));
         }
     }
     log_.write(log_level::info, "failover", "promotion_started",
                {{"group", group_},
                 {"old_primary", old_primary_},
+                {"claimant", claimant_},
                 {"term", known_term_},
                 {"verdict", to_string(verdict_)},
                 {"replicas", replicas_.size()}});
@@ -108,7 +111,52 @@
     ask_all(false, &fenced_promotion::on_replicas_queried);
 }
 
+bool fenced_promotion::judge_claimant() {
+    const std::string claimant = std::exchange(claimant_, "");
+    if (claimant.empty()) {
+        return true;
+    }
+    const std::map<std::string, member_answer>::const_iterator answer = answers_.find(claimant);
+    const bool leads = answer != answers_.end() && answer->second.status.is_primary;
+    if (leads && answer->second.status.term < known_term_) {
+        // It becomes a replica and is then fenced like the others.
+        hooks_.step_down(claimant, known_term_);
+        return false;
+    }
+    if (answer == answers_.end()) {
+        old_primary_ = claimant;
+        std::erase_if(replicas_,
+                      [&claimant](const promotion_member& member) { return member.id == claimant; });
+    }
+    log_.write(log_level::info, "failover", "claimant_judged",
+               {{"group", group_},
+                {"instance", claimant},
+                {"answered", answer != answers_.end()},
+                {"primary", leads},
+                {"term", answer != answers_.end() ? answer->second.status.term : 0}});
+    return true;
+}
+
+std::optional<fenced_promotion_outcome> fenced_promotion::reason_to_stop() const {
+    if (hooks_.known_term() > known_term_ || old_primary_follows_) {
+        return fenced_promotion_outcome::superseded;
+    }
+    const std::string leader = hooks_.known_primary();
+    if (!leader.empty() && (leader != old_primary_ || verdict_ == primary_verdict::missing)) {
+        return fenced_promotion_outcome::primary_found;
+    }
+    return std::nullopt;
+}
+
 void fenced_promotion::on_replicas_queried() {
+    if (!judge_claimant()) {
+        finish(fenced_promotion_outcome::superseded);
+        return;
+    }
+    if (replicas_.empty()) {
+        finish(fenced_promotion_outcome::replica_unreachable);
+        return;
+    }
     term_number newest = known_term_;
     term_number fenced = 0;
     for (const std::map<std::string, member_answer>::value_type& answer : answers_) {
@@ -182,6 +230,11 @@
                 self->finish(fenced_promotion_outcome::members_not_settled);
                 return;
             }
+            const std::optional<fenced_promotion_outcome> reason = self->reason_to_stop();
+            if (reason) {
+                self->finish(*reason);
+                return;
+            }
             self->add_missing_members(*listed);
             self->fence_replicas();
         });
@@ -213,6 +266,14 @@
 }
 
 void fenced_promotion::add_missing_members(const std::vector<promotion_member>& listed) {
+    // An instance whose present entry says that it follows is a replica, even if an older one has claimed the
+    // lead, unless it has answered itself that it led the newest term.
+    const bool follows = std::any_of(listed.begin(), listed.end(), [this](const promotion_member& member) {
+        return member.id == old_primary_ && !member.claims_primary;
+    });
+    if (follows && !hooks_.has_led(old_primary_)) {
+        old_primary_.clear();
+    }
     for (const promotion_member& member : listed) {
         if (!is_known(member)) {
             replicas_.push_back(member);
@@ -243,6 +304,13 @@
         }
     }
     if (!old_primary_.empty()) {
+        // Its answer arrives during the wait, if it is in reach. As a replica of a newer primary it would
+        // have to be fenced.
+        hooks_.ask_status(old_primary_,
+                          [self = shared_from_this()](const std::optional<member_answer>& answer) {
+                              self->old_primary_follows_ = answer && !answer->status.is_primary &&
+                                                           answer->status.term > self->known_term_;
+                          });
         hooks_.step_down(old_primary_, fence_term_);
     }
     hooks_.call_after(settings_.trust_wait, [self = shared_from_this()] { self->recheck_members(); });
@@ -280,8 +348,9 @@
     const log_position longest = longest_log_end();
     return std::all_of(replicas_.begin(), replicas_.end(), [&](const promotion_member& replica) {
         const std::map<std::string, member_answer>::const_iterator fenced = fenced_.find(replica.id);
-        return answers_.count(replica.id) > 0 || (leaving_.count(replica.id) > 0 && fenced != fenced_.end() &&
-                                                  fenced->second.status.log_end <= longest);
+        return answers_.count(replica.id) > 0 || replica.id == claimant_ ||
+               (leaving_.count(replica.id) > 0 && fenced != fenced_.end() &&
+                fenced->second.status.log_end <= longest);
     });
 }
 
@@ -306,6 +375,11 @@
         finish(fenced_promotion_outcome::members_not_settled);
         return;
     }
+    const std::optional<fenced_promotion_outcome> reason = reason_to_stop();
+    if (reason) {
+        finish(*reason);
+        return;
+    }
     candidate_ = choose_candidate();
     if (candidate_.empty()) {
         finish(fenced_promotion_outcome::replica_unreachable);
--- a/gentianhill/failover/fenced_promotion.h
+++ b/gentianhill/failover/fenced_promotion.h
@@ -67,6 +67,8 @@
     outcome_unknown,
     /// No promotion was needed; fences left over from an earlier holder of the duty were removed.
     fences_released,
+    /// Meanwhile an instance was found that leads the known term.
+    primary_found,
 };
 
 /// Returns the name of an outcome as it appears in logs.
@@ -77,6 +79,8 @@
     std::string id;
     /// True if the instance is leaving; it is chosen only if it alone has the longest log.
     bool draining = false;
+    /// True if its entry says that it is the primary. The entry may be of before its last change of role.
+    bool claims_primary = false;
 };
 
 /// Status of a member and the connection on which it was received. If two answers arrived on the same
@@ -91,6 +95,11 @@
     using answer_handler = std::function<void(const std::optional<member_answer>&)>;
 
     std::function<void(const std::string& id, answer_handler done)> ask_status;
+    /// True if the instance is known from its own answers to have led the newest known term.
+    std::function<bool(const std::string& id)> has_led;
+    /// Newest term of the group and its primary, as known to this daemon now; empty while none is known.
+    std::function<term_number()> known_term;
+    std::function<std::string()> known_primary;
     /// Fences an instance: it refuses changes of terms below `term`.
     std::function<void(const std::string& id, term_number term, answer_handler done)> fence;
     /// Removes the fence of an instance.
@@ -115,11 +124,12 @@
 
 /// Replaces the primary of one database group without losing an acknowledged commit.
 ///
-/// All other instances are fenced first, so that the old primary can acknowledge no further commit. After the
-/// time for which any proxy may still read from the old primary, the replica with the longest log is
-/// promoted. The duty lease is checked immediately before the platform is called. With the verdict
-/// `replicas_fenced` nothing is promoted; instead, fences left over from an earlier holder of the duty are
-/// removed.
+/// All other instances are fenced first, so that the old primary can acknowledge no further commit. Only an
+/// instance that led the newest term may be left out, since any other one may receive from that primary
+/// (docs/design/promotion-members.md). After the time for which any proxy may still read from the old
+/// primary, the replica with the longest log is promoted. The duty lease is checked immediately before the
+/// platform is called. With the verdict `replicas_fenced` nothing is promoted; instead, fences left over from
+/// an earlier holder of the duty are removed.
 class fenced_promotion : public std::enable_shared_from_this<fenced_promotion> {
 public:
     /// `lease` and `log` must outlive the object.
@@ -127,7 +137,8 @@
                      const fenced_promotion_settings& settings, fenced_promotion_hooks hooks);
 
     /// Starts the promotion; `done` is called exactly once. `old_primary` is empty if no instance claims to
-    /// be the primary. With `replace_if_replicating`, an unreachable primary is replaced even if it still
+    /// be the primary. If that claim is only in its entry, the instance is asked like a replica, and is one
+    /// if it says so. With `replace_if_replicating`, an unreachable primary is replaced even if it still
     /// replicates.
     void start(std::vector<promotion_member> members, const std::string& old_primary, term_number known_term,
                primary_verdict verdict, bool replace_if_replicating,
@@ -135,6 +146,9 @@
 
 private:
     void query_replicas();
+    /// Decides by the answers whether the instance whose entry claims the lead is a replica; false if it
+    /// leads a superseded term.
+    [[nodiscard]] bool judge_claimant();
     void on_replicas_queried();
     void on_replicas_queried_again();
     void claim();
@@ -160,6 +174,8 @@
     /// Fences all replicas or requests their status, and calls `next` once all have answered. Ends the
     /// promotion if one does not answer.
     void ask_all(bool fence, void (fenced_promotion::*next)());
+    /// Outcome if the group has found a primary or a newer term since the start.
+    [[nodiscard]] std::optional<fenced_promotion_outcome> reason_to_stop() const;
     [[nodiscard]] bool is_known(const promotion_member& member) const;
     [[nodiscard]] bool has_unknown_member(const std::vector<promotion_member>& listed) const;
     void add_missing_members(const std::vector<promotion_member>& listed);
@@ -178,7 +194,12 @@
     fenced_promotion_hooks hooks_;
 
     std::vector<promotion_member> replicas_;
+    /// Instance that is left out of the fences.
     std::string old_primary_;
+    /// Instance whose entry claims the lead, until it has been asked.
+    std::string claimant_;
+    /// The old primary has answered that it follows a newer one.
+    bool old_primary_follows_ = false;
     term_number known_term_ = 0;
     primary_verdict verdict_ = primary_verdict::healthy;
     std::function<void(fenced_promotion_outcome, const std::string& id)> on_finished_;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -223,6 +223,10 @@
     /// Current primary or, when none is known, the only instance whose entry claims that role; empty
     /// otherwise, and when the group is settled by its former primary.
     [[nodiscard]] std::string primary_to_replace() const;
+    /// True if the instance leads or has led the newest known term, by its own answers.
+    [[nodiscard]] bool has_led(const std::string& id) const {
+        return id == primary_id_ || former_primary_.leading_log_end(id, term_).has_value();
+    }
     /// Current primary; empty when none is known.
     [[nodiscard]] const std::string& primary_id() const { return primary_id_; }
     [[nodiscard]] term_number term() const { return term_; }
--- a/gentianhill/proxy/failover_driver.cpp
+++ b/gentianhill/proxy/failover_driver.cpp
@@ -88,7 +88,7 @@
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry :
          group_.instances()) {
         const listed_instance& listed = entry.second->listed();
-        members.push_back({listed.id, listed.draining});
+        members.push_back({listed.id, listed.draining, listed.claims_primary});
         has_candidate = has_candidate || (!listed.draining && listed.id != group_.primary_id());
     }
     // A draining primary is replaced only by an instance that is not draining itself.
@@ -113,6 +113,9 @@
     hooks.ask_status = [this](const std::string& id, const fenced_promotion_hooks::answer_handler& done) {
         call_instance(id, command_kind::status, 0, done);
     };
+    hooks.has_led = [this](const std::string& id) { return group_.has_led(id); };
+    hooks.known_term = [this] { return group_.term(); };
+    hooks.known_primary = [this] { return group_.primary_id(); };
     hooks.fence = [this](const std::string& id, term_number term,
                          const fenced_promotion_hooks::answer_handler& done) {
         call_instance(id, command_kind::fence, term, done);
@@ -133,7 +136,7 @@
             }
             std::vector<promotion_member> members;
             for (const listed_instance& instance : *listed) {
-                members.push_back({instance.id, instance.draining});
+                members.push_back({instance.id, instance.draining, instance.claims_primary});
             }
             done(members);
         });
--- a/tests/failover/fenced_promotion_tests.cpp
+++ b/tests/failover/fenced_promotion_tests.cpp
@@ -25,6 +25,15 @@
     /// Instances that answer nothing after their fence.
     std::set<std::string> silent_after_fence;
     bool b_is_leaving = false;
+    /// Whether p has answered that it led the newest term, whether its entry still claims the lead, and its
+    /// answer, if it answers.
+    bool p_has_led = true;
+    bool p_claims_primary = true;
+    std::optional<instance_status> p_status;
+    const std::string leader{"p"};
+    std::string known_primary = leader;
+    term_number known_term = 4;
+    std::vector<std::string> fenced;
     /// Instances that do not answer an unfence request.
     std::set<std::string> unfence_unanswered;
     std::vector<std::string> unfenced;
@@ -62,11 +71,23 @@
     fenced_promotion_hooks make_hooks() {
         fenced_promotion_hooks hooks;
         hooks.ask_status = [this](const std::string& id, const fenced_promotion_hooks::answer_handler& done) {
+            if (id == "p") {
+                done(p_status ? std::optional(member_answer{1, *p_status}) : std::nullopt);
+                return;
+            }
             const bool is_silent = silent_after_fence.count(id) > 0 && statuses[id].fenced_term > 0;
             done(is_silent ? std::nullopt : std::optional(member_answer{1, statuses[id]}));
         };
         hooks.fence = [this](const std::string& id, term_number term,
                              const fenced_promotion_hooks::answer_handler& done) {
+            fenced.push_back(id);
+            if (id == "p") {
+                if (p_status) {
+                    p_status->fenced_term = term;
+                }
+                done(p_status ? std::optional(member_answer{1, *p_status}) : std::nullopt);
+                return;
+            }
             if (statuses[id].term < term) {
                 statuses[id].fenced_term = term;
             }
@@ -84,8 +105,12 @@
         hooks.step_down = [](const std::string&, term_number) {};
         hooks.list_members =
             [this](const std::function<void(const std::optional<std::vector<promotion_member>>&)>& done) {
-                done(std::vector<promotion_member>{{"p", false}, {"a", false}, {"b", b_is_leaving}});
+                done(std::vector<promotion_member>{
+                    {"p", false, p_claims_primary}, {"a", false}, {"b", b_is_leaving}});
             };
+        hooks.has_led = [this](const std::string& id) { return id == "p" && p_has_led; };
+        hooks.known_term = [this] { return known_term; };
+        hooks.known_primary = [this] { return known_primary; };
         hooks.is_settled = [] { return true; };
         hooks.settled_position = [this] { return settled_position; };
         hooks.promote = [this](const std::string&, std::uint64_t,
@@ -122,6 +147,18 @@
         REQUIRE(end);
     }
 
+    /// No primary is known; the entry of p claims the lead.
+    void know_claimant_only() {
+        p_has_led = false;
+        known_primary.clear();
+        on_call = [this] {
+            statuses["a"].is_primary = true;
+            statuses["a"].term = 5;
+        };
+    }
+    [[nodiscard]] bool is_fenced(const std::string& id) const {
+        return std::find(fenced.begin(), fenced.end(), id) != fenced.end();
+    }
     [[nodiscard]] bool duty_is_free() const { return object && !object->content.at("active").get<bool>(); }
     [[nodiscard]] term_number recorded_term() const {
         return object->content.at("terms").value("orders", term_number{0});
@@ -269,3 +306,64 @@
     CHECK(*end == fenced_promotion_outcome::replica_unreachable);
     CHECK(calls == 0);
 }
+
+// Guards against a promotion that does not fence a replica of the newest term, through which its primary goes
+// on acknowledging commits, because an old entry of the replica claims the lead.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_claimant_that_follows_is_fenced") {
+    know_claimant_only();
+    p_status = statuses["a"];
+    p_status->log_end.position -= 1;
+    run(primary_verdict::missing);
+    CHECK(*end == fenced_promotion_outcome::promoted);
+    CHECK(is_fenced("p"));
+}
+
+// The same for a replica that does not answer, but whose present entry says that it follows.
+TEST_CASE_FIXTURE(promotion_fixture,
+                  "fenced_promotion_silent_claimant_that_is_listed_as_replica_is_waited_for") {
+    know_claimant_only();
+    p_claims_primary = false;
+    run(primary_verdict::missing);
+    CHECK(*end == fenced_promotion_outcome::replica_unreachable);
+    CHECK(calls == 0);
+}
+
+// Guards against a group that stays without a primary because a daemon that has started since cannot tell
+// that the primary has led.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_silent_claimant_is_replaced") {
+    know_claimant_only();
+    run(primary_verdict::missing);
+    CHECK(*end == fenced_promotion_outcome::promoted);
+    CHECK(!is_fenced("p"));
+}
+
+// Guards against a replica that is left out because it still leads a superseded term, and follows soon after.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_claimant_of_an_older_term_is_not_left_out") {
+    know_claimant_only();
+    p_status = instance_status{};
+    p_status->is_primary = true;
+    p_status->term = 3;
+    run(primary_verdict::missing);
+    CHECK(*end == fenced_promotion_outcome::superseded);
+    CHECK(calls == 0);
+}
+
+// Guards against a promotion beside an old primary that receives from a newer one, which no other instance
+// follows.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_old_primary_follows_newer_term_does_not_call") {
+    p_status = statuses["a"];
+    p_status->term = 5;
+    run();
+    CHECK(*end == fenced_promotion_outcome::superseded);
+    CHECK(calls == 0);
+}
+
+// Guards against a promotion that goes on after the group has found a primary that serves.
+TEST_CASE_FIXTURE(promotion_fixture, "fenced_promotion_primary_found_meanwhile_removes_its_fences") {
+    know_claimant_only();
+    scheduled.emplace_back(current + 400ms, [this] { known_primary = leader; });
+    run(primary_verdict::missing);
+    CHECK(*end == fenced_promotion_outcome::primary_found);
+    CHECK(calls == 0);
+    CHECK(unfenced == std::vector<std::string>{"a", "b"});
+}
