ownership: a handle counts only in the process of the owner that gave it

After the owner of a group was restarted, by plan or killed, a client's statements ran in the transaction of another client, and its COMMIT committed what that one had written.

Cause: each process of an owner counts handles from 1. resume() compared the incarnation of the sender, but not its own, so a daemon that still held a handle of the owner's earlier process reached a transaction of another of its clients. end() compared neither. The daemon of the client kept the handles of both processes in one set, by which it tells the owner that it is alive.

Ruled out: a mix-up of sessions at the daemon of the clients (the same test without a restart passes); an instance that keeps a transaction over the end of its connection (the statement ran on a connection of the new process).

Change: answers state the owner's incarnation, resume and end name it, and both sides compare it. The client is told ABORTED. Messages have version 2; daemons of both versions refuse each other's as not run. Quota, relay, duty lease and the transactions of gentianhilld were read for the same class: they carry an incarnation, an era or a claim number already.

The tests failed before: statement_owner_restarted_transaction_of_before_is_aborted ("run("COMMIT") == aborted is NOT correct, 0 == 2") and statement_owner_restarted_end_of_transaction_of_before_ends_no_other.

--- a/gentianhill/ownership/hand_on_messages.cpp
+++ b/gentianhill/ownership/hand_on_messages.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Version of the message format. A daemon refuses messages of another one.
-constexpr std::uint64_t format_version = 1;
+constexpr std::uint64_t format_version = 2;
 constexpr std::size_t max_name_bytes = 256;
 constexpr std::size_t max_values = 65'536;
 constexpr std::size_t max_rows = 1'048'576;
@@ -189,6 +189,7 @@
     writer.text(daemon);
     writer.text(incarnation);
     writer.integer(handle);
+    writer.text(owner_incarnation);
     if (kind == hand_on_kind::run || kind == hand_on_kind::resume) {
         write_statement(writer, *this, now);
     }
@@ -209,6 +210,7 @@
     request.daemon = reader.text(max_name_bytes);
     request.incarnation = reader.text(max_name_bytes);
     request.handle = reader.integer();
+    request.owner_incarnation = reader.text(max_name_bytes);
     if (request.kind == hand_on_kind::run || request.kind == hand_on_kind::resume) {
         read_statement(reader, request, now);
     }
@@ -225,6 +227,7 @@
     byte_writer writer;
     writer.integer(format_version);
     writer.text(daemon);
+    writer.text(incarnation);
     writer.integer(static_cast<std::uint64_t>(refusal));
     writer.integer(handle);
     writer.integer(static_cast<std::uint64_t>(result.outcome));
@@ -246,6 +249,7 @@
     }
     hand_on_answer answer;
     answer.daemon = reader.text(max_name_bytes);
+    answer.incarnation = reader.text(max_name_bytes);
     answer.refusal = read_enumeration(reader, hand_on_refusal::malformed);
     answer.handle = reader.integer();
     answer.result.outcome = read_enumeration(reader, statement_outcome::in_doubt);
--- a/gentianhill/ownership/hand_on_messages.h
+++ b/gentianhill/ownership/hand_on_messages.h
@@ -58,6 +58,9 @@
     std::string incarnation;
     /// Identifies the transaction at the owner; 0 unless the kind is resume or end.
     std::uint64_t handle = 0;
+    /// Incarnation of the owner's process that gave the handle; empty unless the kind is resume or end. Each
+    /// process gives the same handles out again.
+    std::string owner_incarnation;
 
     // A statement, for the kinds run and resume
     statement client_statement;
@@ -93,8 +96,9 @@
 
 /// Answer of an owner.
 struct hand_on_answer {
-    /// Name of the owner.
+    /// Name of the owner, and the incarnation of its process.
     std::string daemon;
+    std::string incarnation;
     hand_on_refusal refusal = hand_on_refusal::none;
     /// Identifies the transaction that is open at the owner; 0 when there is none.
     std::uint64_t handle = 0;
--- a/gentianhill/ownership/statement_forwarder.cpp
+++ b/gentianhill/ownership/statement_forwarder.cpp
@@ -83,6 +83,7 @@
                                  handler done) {
     request.kind = hand_on_kind::resume;
     request.handle = transaction.handle;
+    request.owner_incarnation = transaction.incarnation;
     pending statement;
     statement.request = std::move(request);
     statement.done = std::move(done);
@@ -90,7 +91,7 @@
 }
 
 void statement_forwarder::end(const remote_transaction& transaction) {
-    note_transaction(transaction.owner, transaction.handle, 0);
+    note_ended(transaction);
     const std::optional<endpoint> address = address_of(transaction.owner);
     if (!address) {
         return;
@@ -100,6 +101,7 @@
     request.daemon = owners_.own_name();
     request.incarnation = incarnation_;
     request.handle = transaction.handle;
+    request.owner_incarnation = transaction.incarnation;
     // Without an answer the owner ends the transaction by its idle limit.
     port_.hand_on(*address, request.encode(now()), settings_.probe_timeout,
                   [](const std::optional<std::string>&, const error&) {});
@@ -146,7 +148,7 @@
         const std::optional<hand_on_answer> late =
             bytes ? hand_on_answer::decode(*bytes, ignored) : std::nullopt;
         if (late && late->handle != 0) {
-            end({owner, late->handle});
+            end({owner, late->incarnation, late->handle});
         }
         return;
     }
@@ -171,11 +173,17 @@
     }
     error invalid;
     std::optional<hand_on_answer> answer = hand_on_answer::decode(*bytes, invalid);
-    if (!answer || answer->daemon != owner) {
+    // A transaction lives in one process; another one can only refuse its statements.
+    const bool is_of_other_process = answer && answer->refusal == hand_on_refusal::none &&
+                                     statement.request.kind == hand_on_kind::resume &&
+                                     answer->incarnation != statement.request.owner_incarnation;
+    if (!answer || answer->daemon != owner || is_of_other_process) {
         log_.write(log_level::warning, "ownership", "answer_not_valid",
                    {{"id", statement.request.client_statement.id},
                     {"owner", owner},
-                    {"reason", answer ? answer->daemon : invalid.describe()}});
+                    {"reason", answer ? answer->daemon : invalid.describe()},
+                    {"incarnation", answer ? answer->incarnation : ""},
+                    {"expected_incarnation", statement.request.owner_incarnation}});
         on_lost(owner, std::move(statement));
         return;
     }
@@ -194,12 +202,14 @@
         on_not_run(owner, std::move(statement), answer.refusal);
         return;
     }
-    note_transaction(owner, statement.request.handle, answer.handle);
     hand_on_outcome outcome;
     outcome.fate = hand_on_fate::answered;
     outcome.result = std::move(answer.result);
     if (answer.handle != 0) {
-        outcome.transaction = remote_transaction{owner, answer.handle};
+        outcome.transaction = remote_transaction{owner, answer.incarnation, answer.handle};
+        note_opened(*outcome.transaction);
+    } else if (statement.request.kind == hand_on_kind::resume) {
+        note_ended(transaction_of(owner, statement.request));
     }
     statement.done(std::move(outcome));
 }
@@ -220,7 +230,7 @@
         return;
     }
     if (statement.request.kind == hand_on_kind::resume) {
-        note_transaction(owner, statement.request.handle, 0);
+        note_ended(transaction_of(owner, statement.request));
     } else {
         run_here_.add(refusal == hand_on_refusal::overloaded ? 0 : 1);
     }
@@ -234,22 +244,40 @@
         return;
     }
     if (statement.request.kind == hand_on_kind::resume) {
-        end({owner, statement.request.handle});
+        end(transaction_of(owner, statement.request));
     }
     statement.done({hand_on_fate::lost, hand_on_refusal::none, {}, std::nullopt});
 }
 
-void statement_forwarder::note_transaction(const std::string& owner, std::uint64_t before,
-                                           std::uint64_t handle) {
-    std::set<std::uint64_t>& handles = peers_[owner].handles;
-    if (before != 0 && before != handle) {
-        handles_.add(-static_cast<double>(handles.erase(before)));
-    }
-    if (handle != 0 && handles.insert(handle).second) {
+remote_transaction statement_forwarder::transaction_of(const std::string& owner,
+                                                       const hand_on_request& request) {
+    return {owner, request.owner_incarnation, request.handle};
+}
+
+void statement_forwarder::note_opened(const remote_transaction& transaction) {
+    if (peers_[transaction.owner].handles.emplace(transaction.incarnation, transaction.handle).second) {
         handles_.add(1);
     }
 }
 
+void statement_forwarder::note_ended(const remote_transaction& transaction) {
+    const std::size_t ended =
+        peers_[transaction.owner].handles.erase({transaction.incarnation, transaction.handle});
+    handles_.add(-static_cast<double>(ended));
+}
+
+void statement_forwarder::forget_earlier(const std::string& owner, const std::string& incarnation) {
+    const std::size_t forgotten = std::erase_if(
+        peers_[owner].handles, [&incarnation](const std::pair<std::string, std::uint64_t>& key) {
+            return key.first != incarnation;
+        });
+    if (forgotten > 0) {
+        log_.write(log_level::info, "ownership", "owner_restarted",
+                   {{"owner", owner}, {"incarnation", incarnation}, {"transactions_ended", forgotten}});
+        handles_.add(-static_cast<double>(forgotten));
+    }
+}
+
 std::optional<endpoint> statement_forwarder::address_of(const std::string& name) {
     std::optional<endpoint>& known = peers_[name].address;
     const std::optional<endpoint> listed = owners_.address_of(name);
@@ -298,6 +326,7 @@
         return;
     }
     probed.last_heard = now();
+    forget_earlier(owner, answer->incarnation);
     if (answer->refusal == hand_on_refusal::none && owners_.unavailable().count(owner) > 0) {
         log_.write(log_level::info, "ownership", "owner_available", {{"owner", owner}});
         owners_.set_available(owner, true);
--- a/gentianhill/ownership/statement_forwarder.h
+++ b/gentianhill/ownership/statement_forwarder.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace gentianhill {
 
@@ -38,6 +39,8 @@
 /// Transaction that is open at the owner of its group.
 struct remote_transaction {
     std::string owner;
+    /// Incarnation of the owner's process; its transactions end with it.
+    std::string incarnation;
     std::uint64_t handle = 0;
 };
 
@@ -102,8 +105,8 @@
         time_point probed_at;
         /// Statements without an answer yet, by number.
         std::map<std::uint64_t, pending> open;
-        /// Transactions open there.
-        std::set<std::uint64_t> handles;
+        /// Transactions open there, by incarnation and handle.
+        std::set<std::pair<std::string, std::uint64_t>> handles;
     };
 
     [[nodiscard]] bool send_to_owner(pending statement);
@@ -119,7 +122,13 @@
     void fail_open_statements(const std::string& owner);
     /// Address of a daemon, if it is or was listed.
     [[nodiscard]] std::optional<endpoint> address_of(const std::string& name);
-    void note_transaction(const std::string& owner, std::uint64_t before, std::uint64_t handle);
+    void note_opened(const remote_transaction& transaction);
+    void note_ended(const remote_transaction& transaction);
+    /// Forgets the transactions of earlier processes of an owner, of which `incarnation` is the present one.
+    void forget_earlier(const std::string& owner, const std::string& incarnation);
+    /// Transaction that a further statement belongs to.
+    [[nodiscard]] static remote_transaction transaction_of(const std::string& owner,
+                                                           const hand_on_request& request);
 
     statement_forwarder_settings settings_;
     owner_selection& owners_;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -201,7 +201,7 @@
       lease_(ports_.store, log, settings.lease, settings.name, settings.incarnation),
       owners_(settings.owners, directory_, log, registry),
       forwarder_(settings.forwarder, owners_, ports_.relay, log, registry, settings.incarnation),
-      host_(settings.host, environment_, log, counters_, registry, settings_.name),
+      host_(settings.host, environment_, log, counters_, registry, settings_.name, settings_.incarnation),
       stop_({settings.grace, balancer_delay}) {
     lease_.now = ports_.now;
     lease_.find_base_term = [this](const std::string& group_name) {
--- a/gentianhill/proxy/statement_host.cpp
+++ b/gentianhill/proxy/statement_host.cpp
@@ -41,12 +41,13 @@
 
 statement_host::statement_host(const statement_host_settings& settings,
                                const session_environment& environment, logger& log, proxy_counters& counters,
-                               metrics& registry, const std::string& name)
+                               metrics& registry, const std::string& name, const std::string& incarnation)
     : settings_(settings),
       environment_(environment),
       log_(log),
       counters_(counters),
       name_(name),
+      incarnation_(incarnation),
       run_for_others_(registry.add_counter("gentianhill_statements_run_for_others_total",
                                            "Statements run as the owner of their group.")),
       open_(registry.add_gauge("gentianhill_hosted_sessions",
@@ -86,15 +87,12 @@
         resume(*request, message.size(), respond);
         return;
     case hand_on_kind::end:
-        end(request->handle);
+        end(*request);
         break;
     case hand_on_kind::probe:
         break;
     }
-    hand_on_answer answer;
-    answer.daemon = name_;
-    answer.refusal = refuses_new_ ? hand_on_refusal::draining : hand_on_refusal::none;
-    respond(answer.encode(), {});
+    respond(make_answer(refuses_new_ ? hand_on_refusal::draining : hand_on_refusal::none).encode(), {});
 }
 
 void statement_host::refuse(const hand_on_request& request, hand_on_refusal refusal,
@@ -105,10 +103,26 @@
                 {"daemon", request.daemon},
                 {"refusal", to_string(refusal)},
                 {"open", sessions_.size()}});
+    respond(make_answer(refusal).encode(), {});
+}
+
+hand_on_answer statement_host::make_answer(hand_on_refusal refusal) const {
     hand_on_answer answer;
     answer.daemon = name_;
+    answer.incarnation = incarnation_;
     answer.refusal = refusal;
-    respond(answer.encode(), {});
+    return answer;
+}
+
+std::map<std::uint64_t, std::unique_ptr<statement_host::hosted_session>>::iterator
+statement_host::find(const hand_on_request& request) {
+    // A handle means something only between the process that gave it and the one that received it: an earlier
+    // process of either daemon may have used the same one.
+    const std::map<std::uint64_t, std::unique_ptr<hosted_session>>::iterator found =
+        sessions_.find(request.handle);
+    const bool is_meant = found != sessions_.end() && request.owner_incarnation == incarnation_ &&
+                          found->second->sender == request.incarnation;
+    return is_meant ? found : sessions_.end();
 }
 
 bool statement_host::is_current(const hand_on_request& request) {
@@ -206,10 +220,8 @@
 
 void statement_host::resume(const hand_on_request& request, std::size_t bytes,
                             const hand_on_handler& respond) {
-    const std::map<std::uint64_t, std::unique_ptr<hosted_session>>::iterator found =
-        sessions_.find(request.handle);
-    // Another process may have had the same handle before this one was started.
-    if (found == sessions_.end() || found->second->sender != request.incarnation || found->second->respond) {
+    const std::map<std::uint64_t, std::unique_ptr<hosted_session>>::iterator found = find(request);
+    if (found == sessions_.end() || found->second->respond) {
         refuse(request, hand_on_refusal::unknown_transaction, respond);
         return;
     }
@@ -231,8 +243,7 @@
         return;
     }
     hosted_session& hosted = *found->second;
-    hand_on_answer answer;
-    answer.daemon = name_;
+    hand_on_answer answer = make_answer(hand_on_refusal::none);
     answer.result = result;
     answer.handle = result.state == transaction_state::open ? handle : 0;
     const hand_on_handler respond = std::move(hosted.respond);
@@ -243,10 +254,9 @@
     respond(answer.encode(), {});
 }
 
-void statement_host::end(std::uint64_t handle) {
-    const std::map<std::uint64_t, std::unique_ptr<hosted_session>>::iterator found = sessions_.find(handle);
-    if (found != sessions_.end()) {
-        remove(handle);
+void statement_host::end(const hand_on_request& request) {
+    if (find(request) != sessions_.end()) {
+        remove(request.handle);
     }
 }
 
--- a/gentianhill/proxy/statement_host.h
+++ b/gentianhill/proxy/statement_host.h
@@ -34,9 +34,11 @@
 /// in a session of its own, which lasts as long as its transaction.
 class statement_host {
 public:
-    /// All arguments but the settings must outlive the host; `name` is that of this daemon.
+    /// All arguments but the settings must outlive the host; `name` is that of this daemon, and `incarnation`
+    /// that of its process.
     statement_host(const statement_host_settings& settings, const session_environment& environment,
-                   logger& log, proxy_counters& counters, metrics& registry, const std::string& name);
+                   logger& log, proxy_counters& counters, metrics& registry, const std::string& name,
+                   const std::string& incarnation);
     ~statement_host();
     statement_host(const statement_host&) = delete;
     statement_host& operator=(const statement_host&) = delete;
@@ -64,13 +66,18 @@
 
     void run(hand_on_request request, std::size_t bytes, const hand_on_handler& respond);
     void resume(const hand_on_request& request, std::size_t bytes, const hand_on_handler& respond);
-    void end(std::uint64_t handle);
+    void end(const hand_on_request& request);
     void on_result(std::uint64_t handle, const statement_result& result);
     void refuse(const hand_on_request& request, hand_on_refusal refusal, const hand_on_handler& respond);
     /// Why a statement must not run here; none if it may.
     [[nodiscard]] hand_on_refusal check(const hand_on_request& request, std::size_t bytes);
     /// True if the sender's configuration is not older than what was acted on for its route.
     [[nodiscard]] bool is_current(const hand_on_request& request);
+    /// Transaction that a message of its sender names; the end of the sessions if there is none.
+    [[nodiscard]] std::map<std::uint64_t, std::unique_ptr<hosted_session>>::iterator
+    find(const hand_on_request& request);
+    /// Answer of this process without a result.
+    [[nodiscard]] hand_on_answer make_answer(hand_on_refusal refusal) const;
     void remove(std::uint64_t handle);
     /// Copied, since a session that answers may be removed.
     [[nodiscard]] std::vector<std::uint64_t> open_handles() const;
@@ -80,6 +87,7 @@
     logger& log_;
     proxy_counters& counters_;
     std::string name_;
+    std::string incarnation_;
     std::map<std::uint64_t, std::unique_ptr<hosted_session>> sessions_;
     /// Removed sessions, destroyed by the next tick, when none of their callbacks is on the stack.
     std::vector<std::unique_ptr<hosted_session>> ended_;
--- a/tests/ownership/hand_on_messages_tests.cpp
+++ b/tests/ownership/hand_on_messages_tests.cpp
@@ -78,10 +78,21 @@
     CHECK(!exchange(whole + "x"));
 }
 
+// Guards against a handle that outlives the process that gave it.
+TEST_CASE_FIXTURE(message_fixture, "hand_on_request_exchanged_incarnation_of_the_owner_is_unchanged") {
+    request.kind = hand_on_kind::end;
+    request.handle = 3;
+    request.owner_incarnation = "cafe";
+    const std::optional<hand_on_request> read = exchange(request.encode(sent_at));
+    REQUIRE(read);
+    CHECK(read->handle == 3);
+    CHECK(read->owner_incarnation == "cafe");
+}
+
 // Guards against peers of another version, and values without a meaning.
 TEST_CASE_FIXTURE(message_fixture, "hand_on_request_with_unknown_values_is_not_valid") {
     std::string other_version = request.encode(sent_at);
-    other_version[0] = 2;
+    other_version[0] = 1;
     CHECK(!exchange(other_version));
     std::string other_kind = request.encode(sent_at);
     other_kind[1] = 9;
@@ -93,6 +104,7 @@
 TEST_CASE_FIXTURE(message_fixture, "hand_on_answer_exchanged_rows_and_signature_are_unchanged") {
     hand_on_answer answer;
     answer.daemon = "d-2";
+    answer.incarnation = "cafe";
     answer.handle = 1U << 20U;
     answer.result.rows = {"a", "", std::string("\0\xfe", 2)};
     answer.result.signature = "7.1f3";
@@ -103,6 +115,7 @@
     const std::optional<hand_on_answer> read = hand_on_answer::decode(whole, reason);
     REQUIRE(read);
     CHECK(read->handle == answer.handle);
+    CHECK(read->incarnation == "cafe");
     CHECK(read->result.rows == answer.result.rows);
     CHECK(read->result.signature == answer.result.signature);
     CHECK(read->result.state == transaction_state::open);
--- a/tests/proxy/simulated_deployment.cpp
+++ b/tests/proxy/simulated_deployment.cpp
@@ -364,9 +364,14 @@
                               at(to).on_hand_on(received,
                                                 [this, to, respond](const std::optional<std::string>& answer,
                                                                     const error& reason) {
-                                                    if (mute_proxies.count(to) == 0) {
-                                                        respond(answer, reason);
+                                                    if (mute_proxies.count(to) > 0) {
+                                                        return;
                                                     }
+                                                    std::optional<std::string> sent = answer;
+                                                    if (sent && on_hand_on_answer) {
+                                                        on_hand_on_answer(*sent);
+                                                    }
+                                                    respond(sent, reason);
                                                 });
                           });
 }
--- a/tests/proxy/simulated_deployment.h
+++ b/tests/proxy/simulated_deployment.h
@@ -114,6 +114,8 @@
     /// Called for each message about a statement that is handed on; may change it, or return false to lose
     /// it.
     std::function<bool(std::size_t from, std::size_t to, std::string& message)> on_hand_on_message;
+    /// Called for each answer to such a message; may change it.
+    std::function<void(std::string& answer)> on_hand_on_answer;
     /// Such messages by receiver.
     std::map<std::size_t, std::size_t> messages_handed_on;
     /// Proxies whose answers to such messages are lost.
--- a/tests/proxy/statement_owner_tests.cpp
+++ b/tests/proxy/statement_owner_tests.cpp
@@ -296,3 +296,91 @@
     CHECK(served == ids.size());
     CHECK(!deployment.at(owner).has_hosted_statements());
 }
+
+namespace {
+
+/// The owner has started again while a client rests in a transaction there. Another client of the same daemon
+/// has a transaction in the new process, under the handle that the first one had in the old process.
+struct restarted_owner_fixture : public owner_fixture {
+    std::unique_ptr<simulated_client> later = deployment.connect(asker, "own");
+
+    restarted_owner_fixture() {
+        open_transaction();
+        deployment.kill(owner);
+        deployment.start(owner);
+        deployment.run_for(1500ms);
+        REQUIRE(run_later("BEGIN") == statement_outcome::done);
+        REQUIRE(run_later("WRITE b 1") == statement_outcome::done);
+        REQUIRE(deployment.at(owner).has_hosted_statements());
+    }
+    statement_outcome run_later(const std::string& text) {
+        const std::string id = later->send(text);
+        deployment.run_for(300ms);
+        return later->outcome(id);
+    }
+};
+
+} // namespace
+
+// Guards against PINNED of review/12: after a restart of the owner, statements of a client run in the
+// transaction of another one, and its COMMIT commits what that one has written.
+TEST_CASE_FIXTURE(restarted_owner_fixture, "statement_owner_restarted_transaction_of_before_is_aborted") {
+    SUBCASE("the client goes on writing") {
+        CHECK(run("WRITE a 2") == statement_outcome::aborted);
+    }
+    SUBCASE("the client commits") {
+        CHECK(run("COMMIT") == statement_outcome::aborted);
+    }
+    CHECK(run_later("READ b") == statement_outcome::done);
+    CHECK(run_later("COMMIT") == statement_outcome::done);
+}
+
+// Guards against the end of a transaction of before that rolls back another client's transaction.
+TEST_CASE_FIXTURE(restarted_owner_fixture,
+                  "statement_owner_restarted_end_of_transaction_of_before_ends_no_other") {
+    SUBCASE("the client rolls back") {
+        CHECK(run("ROLLBACK") == statement_outcome::done);
+    }
+    SUBCASE("the client leaves") {
+        client->leave();
+    }
+    deployment.run_for(100ms);
+    CHECK(run_later("COMMIT") == statement_outcome::done);
+}
+
+// Guards against an end that a daemon sends after its own restart, or that names a process which has ended.
+TEST_CASE_FIXTURE(owner_fixture, "statement_owner_end_of_other_process_is_ignored") {
+    open_transaction();
+    std::string hand_on_request::*changed = &hand_on_request::incarnation;
+    SUBCASE("of the owner") {
+        changed = &hand_on_request::owner_incarnation;
+    }
+    SUBCASE("of the sender") {}
+    deployment.on_hand_on_message = [this, changed](std::size_t, std::size_t, std::string& message) {
+        error ignored;
+        std::optional<hand_on_request> request =
+            hand_on_request::decode(message, deployment.clock.now(), ignored);
+        if (request && request->kind == hand_on_kind::end) {
+            (*request).*changed += "-before";
+            message = request->encode(deployment.clock.now());
+        }
+        return true;
+    };
+    client->leave();
+    deployment.run_for(100ms);
+    CHECK(deployment.at(owner).has_hosted_statements());
+}
+
+// Guards against an answer of another process than the transaction's that passes for a success.
+TEST_CASE_FIXTURE(owner_fixture, "statement_owner_answer_of_other_process_write_is_aborted") {
+    open_transaction();
+    deployment.on_hand_on_answer = [](std::string& message) {
+        error ignored;
+        std::optional<hand_on_answer> answer = hand_on_answer::decode(message, ignored);
+        if (answer) {
+            answer->incarnation += "-before";
+            message = answer->encode();
+        }
+    };
+    CHECK(run("WRITE a 2") == statement_outcome::aborted);
+}
