failover: a replica whose entry has lapsed is fenced until no daemon can believe it

A replica and a daemon are cut from the store; another daemon, cut from the primary, replaces it. Some of the acknowledged commits are missing in the log of the instance that is promoted.

Cause: a promotion fences the instances that its daemon lists, and a daemon confirms commits by the word of one replica that it lists. The two lists may differ by any age. A replica that is cut from the store alone lapses, lives and receives; the promoting daemon had removed it, and the other one, itself cut from the store, still believed it. The same difference let reads that rest on the logs of all listed replicas miss such a commit.

Ruled out: a wrong settlement (the lost commits are all newer than the fences); an effect within the trust window (trust was prolonged by true answers of the lapsed replica).

A removed instance stays in the fenced set until it has ended or no daemon can believe it; a daemon whose list of instances is older than that bound counts only the word of all replicas. The age of the list is known from the daemon's own calls to the store, or stated by the daemon it comes from. The record of members keeps departed instances for daemons that start later. Long polls of the instances last 2 s at most.

--- a/gentianhill/failover/fenced_promotion.cpp
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -111,6 +111,39 @@
     ask_all(false, &fenced_promotion::on_replicas_queried);
 }
 
+bool fenced_promotion::judge_leaders() {
+    return judge_claimant() && judge_departed();
+}
+
+void fenced_promotion::leave_out(const std::string& id) {
+    old_primary_ = id;
+    std::erase_if(replicas_, [&id](const promotion_member& member) { return member.id == id; });
+}
+
+bool fenced_promotion::judge_departed() {
+    std::string leader;
+    for (const promotion_member& replica : replicas_) {
+        const std::map<std::string, member_answer>::const_iterator answer = answers_.find(replica.id);
+        if (!replica.departed || answer == answers_.end() || !answer->second.status.is_primary) {
+            continue;
+        }
+        if (answer->second.status.term < known_term_) {
+            hooks_.step_down(replica.id, known_term_);
+            return false;
+        }
+        if (answer->second.status.term == known_term_) {
+            leader = replica.id;
+        }
+    }
+    if (!leader.empty()) {
+        log_.write(log_level::info, "failover", "departed_leads",
+                   {{"group", group_}, {"instance", leader}, {"term", known_term_}});
+        answers_.erase(leader);
+        leave_out(leader);
+    }
+    return true;
+}
+
 bool fenced_promotion::judge_claimant() {
     const std::string claimant = std::exchange(claimant_, "");
     if (claimant.empty()) {
@@ -124,9 +157,7 @@
         return false;
     }
     if (answer == answers_.end()) {
-        old_primary_ = claimant;
-        std::erase_if(replicas_,
-                      [&claimant](const promotion_member& member) { return member.id == claimant; });
+        leave_out(claimant);
     }
     log_.write(log_level::info, "failover", "claimant_judged",
                {{"group", group_},
@@ -149,7 +180,7 @@
 }
 
 void fenced_promotion::on_replicas_queried() {
-    if (!judge_claimant()) {
+    if (!judge_leaders()) {
         finish(fenced_promotion_outcome::superseded);
         return;
     }
@@ -266,6 +297,12 @@
 }
 
 void fenced_promotion::add_missing_members(const std::vector<promotion_member>& listed) {
+    for (promotion_member& replica : replicas_) {
+        const bool is_listed =
+            std::any_of(listed.begin(), listed.end(),
+                        [&replica](const promotion_member& member) { return member.id == replica.id; });
+        replica.departed = replica.departed && !is_listed;
+    }
     // An instance whose present entry says that it follows is a replica, even if an older one has claimed the
     // lead, unless it has answered itself that it led the newest term.
     const bool follows = std::any_of(listed.begin(), listed.end(), [this](const promotion_member& member) {
@@ -343,20 +380,32 @@
 }
 
 bool fenced_promotion::can_pass_over_missing() const {
-    // A fenced replica receives nothing, so its log has not grown since. One that leaves does not start again
-    // without its fence.
     const log_position longest = longest_log_end();
     return std::all_of(replicas_.begin(), replicas_.end(), [&](const promotion_member& replica) {
-        const std::map<std::string, member_answer>::const_iterator fenced = fenced_.find(replica.id);
-        return answers_.count(replica.id) > 0 || replica.id == claimant_ ||
-               (leaving_.count(replica.id) > 0 && fenced != fenced_.end() &&
-                fenced->second.status.log_end <= longest);
+        return answers_.count(replica.id) > 0 || can_pass_over(replica, longest);
     });
 }
 
+bool fenced_promotion::can_pass_over(const promotion_member& replica, log_position longest) const {
+    if (replica.id == claimant_ || (replica.departed && hooks_.has_ended(replica.id))) {
+        return true;
+    }
+    // A fenced replica receives nothing, so its log has not grown since. One that leaves does not start again
+    // without its fence.
+    const std::map<std::string, member_answer>::const_iterator fenced = fenced_.find(replica.id);
+    return leaving_.count(replica.id) > 0 && fenced != fenced_.end() &&
+           fenced->second.status.log_end <= longest;
+}
+
 void fenced_promotion::on_replicas_rechecked() {
     for (const std::map<std::string, member_answer>::value_type& answer : answers_) {
-        const member_answer& before = fenced_.at(answer.first);
+        const std::map<std::string, member_answer>::const_iterator fenced = fenced_.find(answer.first);
+        if (fenced == fenced_.end()) {
+            // It was taken for ended when the others were fenced.
+            finish(fenced_promotion_outcome::fence_lost);
+            return;
+        }
+        const member_answer& before = fenced->second;
         const member_answer& after = answer.second;
         // The call of an earlier holder of the duty has taken effect in the meantime.
         if (after.status.is_primary || after.status.term >= fence_term_) {
@@ -393,7 +442,7 @@
     std::string draining;
     for (const promotion_member& replica : replicas_) {
         const std::map<std::string, member_answer>::const_iterator answer = answers_.find(replica.id);
-        if (answer == answers_.end() || answer->second.status.log_end != longest) {
+        if (replica.departed || answer == answers_.end() || answer->second.status.log_end != longest) {
             continue;
         }
         if (!replica.draining) {
--- a/gentianhill/failover/fenced_promotion.h
+++ b/gentianhill/failover/fenced_promotion.h
@@ -81,6 +81,8 @@
     bool draining = false;
     /// True if its entry says that it is the primary. The entry may be of before its last change of role.
     bool claims_primary = false;
+    /// True if its entry has lapsed although it may live; it is fenced, but never chosen.
+    bool departed = false;
 };
 
 /// Status of a member and the connection on which it was received. If two answers arrived on the same
@@ -97,6 +99,8 @@
     std::function<void(const std::string& id, answer_handler done)> ask_status;
     /// True if the instance is known from its own answers to have led the newest known term.
     std::function<bool(const std::string& id)> has_led;
+    /// True if a departed instance has ended, or if by now no daemon believes it any longer.
+    std::function<bool(const std::string& id)> has_ended;
     /// Newest term of the group and its primary, as known to this daemon now; empty while none is known.
     std::function<term_number()> known_term;
     std::function<std::string()> known_primary;
@@ -146,9 +150,12 @@
 
 private:
     void query_replicas();
-    /// Decides by the answers whether the instance whose entry claims the lead is a replica; false if it
-    /// leads a superseded term.
+    /// Decides by the answers whether the instance whose entry claims the lead, and those whose entries have
+    /// lapsed, are replicas; false if one leads a superseded term.
+    [[nodiscard]] bool judge_leaders();
     [[nodiscard]] bool judge_claimant();
+    [[nodiscard]] bool judge_departed();
+    void leave_out(const std::string& id);
     void on_replicas_queried();
     void on_replicas_queried_again();
     void claim();
@@ -181,9 +188,10 @@
     void add_missing_members(const std::vector<promotion_member>& listed);
     /// Marks the replicas that are leaving or have left.
     void update_leaving(const std::vector<promotion_member>& listed);
-    /// True if every replica without an answer has left after it was fenced, and another one holds all that
-    /// it held.
+    /// True if every replica without an answer may be passed over: it has ended, or it has left after it was
+    /// fenced and another one holds all that it held.
     [[nodiscard]] bool can_pass_over_missing() const;
+    [[nodiscard]] bool can_pass_over(const promotion_member& replica, log_position longest) const;
     [[nodiscard]] log_position longest_log_end() const;
     [[nodiscard]] std::string choose_candidate() const;
 
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -148,6 +148,7 @@
     watching_since_ = now();
     failure_detector_.reset(false, now());
     settlement_.unsettle(now());
+    departures_known_since_ = now();
 }
 
 database_group::~database_group() {
@@ -158,6 +159,7 @@
 void database_group::update_instance(const listed_instance& listed) {
     const std::map<std::string, std::unique_ptr<proxy_instance>>::iterator found = instances_.find(listed.id);
     if (found == instances_.end()) {
+        forget_departed(listed.id);
         std::unique_ptr<proxy_instance> added =
             std::make_unique<proxy_instance>(listed, network_, log_, settings_.pool, clock_);
         added->on_capacity = [this] { place_waiting_tasks(); };
@@ -188,6 +190,7 @@
             log_.write(log_level::info, "group", "instance_restarted",
                        {{"group", name_}, {"instance", listed.id}});
             unfenced_reports_.remove(listed.id);
+            received_positions_.erase(listed.id);
             unsettle_by(listed.id);
             if (listed.id == primary_id_) {
                 set_primary("", term_);
@@ -216,9 +219,11 @@
     removed_.push_back(std::move(found->second));
     instances_.erase(found);
     removed_.back()->close_all();
+    add_departed(removed_.back()->listed());
     open_polls_.erase(id);
     status_sent_at_.erase(id);
     unfenced_reports_.remove(id);
+    received_positions_.erase(id);
     failure_detector_.on_replica_fence_state(id, false, now());
     unsettle_by(id);
     if (id == primary_id_) {
@@ -227,6 +232,73 @@
     check_lost_primary();
 }
 
+void database_group::add_departed(const listed_instance& listed) {
+    departed_instance& departed = departed_[listed.id];
+    departed.instance = std::make_unique<proxy_instance>(listed, network_, log_, settings_.pool, clock_);
+    departed.instance->on_failure = [this](proxy_instance& instance, disconnect_reason reason) {
+        if (reason == disconnect_reason::refused) {
+            departed_.at(instance.listed().id).has_ended = true;
+        }
+    };
+    departed.removed_at = now();
+}
+
+void database_group::forget_departed(const std::string& id) {
+    const std::map<std::string, departed_instance>::iterator found = departed_.find(id);
+    if (found == departed_.end()) {
+        return;
+    }
+    // Destroyed by the next tick, since one of its callbacks may be on the stack.
+    removed_.push_back(std::move(found->second.instance));
+    departed_.erase(found);
+    removed_.back()->on_failure = nullptr;
+    removed_.back()->close_all();
+}
+
+void database_group::expire_departed(time_point current) {
+    std::vector<std::string> expired;
+    for (const std::map<std::string, departed_instance>::value_type& entry : departed_) {
+        if (current - entry.second.removed_at >= departure_limit()) {
+            expired.push_back(entry.first);
+        } else {
+            entry.second.instance->tick();
+        }
+    }
+    for (const std::string& id : expired) {
+        forget_departed(id);
+    }
+}
+
+proxy_instance* database_group::find_member(const std::string& id) {
+    const std::map<std::string, departed_instance>::iterator departed = departed_.find(id);
+    return departed == departed_.end() ? find(id) : departed->second.instance.get();
+}
+
+bool database_group::is_departed(const std::string& id) const {
+    const std::map<std::string, departed_instance>::const_iterator found = departed_.find(id);
+    return found != departed_.end() && !found->second.has_ended &&
+           now() - found->second.removed_at < departure_limit();
+}
+
+std::vector<std::string> database_group::departed_ids() const {
+    std::vector<std::string> ids;
+    for (const std::map<std::string, departed_instance>::value_type& entry : departed_) {
+        if (is_departed(entry.first)) {
+            ids.push_back(entry.first);
+        }
+    }
+    return ids;
+}
+
+std::optional<time_point> database_group::departures_end() const {
+    std::optional<time_point> end;
+    for (const std::string& id : departed_ids()) {
+        const time_point own_end = departed_.at(id).removed_at + departure_limit();
+        end = std::max(end.value_or(own_end), own_end);
+    }
+    return end;
+}
+
 void database_group::unsettle_by(const std::string& id) {
     const bool has_led = former_primary_.leading_log_end(id, term_).has_value();
     if (has_led) {
@@ -829,8 +901,9 @@
     const time_point ask_at = std::max(sent_at + receipt_wait(target_latency, received_at), received_at);
     unconfirmed_.add(*result.position, sent_at, received_at, ask_at, done);
     last_trust_use_ = received_at;
-    if (result.position->term == term_ && received_position_ >= *result.position) {
-        static_cast<void>(unconfirmed_.on_received(received_position_, received_at));
+    const log_position received = received_position();
+    if (result.position->term == term_ && received >= *result.position) {
+        static_cast<void>(unconfirmed_.on_received(received, received_at));
     }
     unconfirmed_.resolve(term_, trust_);
     if (unconfirmed_.empty()) {
@@ -1082,7 +1155,8 @@
 void database_group::on_replica_evidence(const std::string& id, time_point sent_at) {
     unfenced_reports_.add(id, sent_at);
     const proxy_instance* replica = find(id);
-    const bool extended = replica != nullptr && is_witness(*replica) && trust_.extend(sent_at, now());
+    const bool extended =
+        replica != nullptr && is_list_current() && is_witness(*replica) && trust_.extend(sent_at, now());
     if (!extended) {
         const std::optional<time_point> all = unfenced_reports_.all_reported_since(replica_ids());
         if (!all) {
@@ -1109,8 +1183,10 @@
         return;
     }
     const time_point current = now();
-    received_position_ = std::max(received_position_, position);
-    const std::optional<time_point> sent_at = unconfirmed_.on_received(position, current);
+    log_position& received = received_positions_[replica.listed().id];
+    received = std::max(received, position);
+    const std::optional<time_point> sent_at =
+        unconfirmed_.on_received(is_list_current() ? position : received_position(), current);
     if (!sent_at) {
         return;
     }
@@ -1128,6 +1204,28 @@
     return instance.listed().id != primary_id_ && now() - instance.listed_since() >= settings_.trust_window;
 }
 
+bool database_group::is_list_current() const {
+    if (!members_current_as_of) {
+        return true;
+    }
+    const std::optional<time_point> moment = members_current_as_of();
+    return moment && now() - *moment <= settings_.member_list_limit;
+}
+
+log_position database_group::received_position() const {
+    const bool needs_all = !is_list_current();
+    std::optional<log_position> result;
+    for (const std::string& id : replica_ids()) {
+        const std::map<std::string, log_position>::const_iterator found = received_positions_.find(id);
+        const log_position received = found == received_positions_.end() ? log_position{} : found->second;
+        if (!result) {
+            result = received;
+        }
+        result = needs_all ? std::min(*result, received) : std::max(*result, received);
+    }
+    return result.value_or(log_position{});
+}
+
 std::optional<time_point> database_group::last_replica_answer() const {
     std::optional<time_point> last;
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
@@ -1140,14 +1238,14 @@
 
 bool database_group::has_reachable_replica() const {
     const time_point current = now();
-    return std::any_of(instances_.begin(), instances_.end(),
-                       [&](const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry) {
-                           const proxy_instance& instance = *entry.second;
-                           const bool silent = instance.last_answer() < witnesses_silent_at_;
-                           return entry.first != primary_id_ &&
-                                  ((instance.is_usable() && !silent) ||
-                                   current - instance.last_answer() < witness_silence);
-                       });
+    const std::vector<std::string> replicas = replica_ids();
+    const std::ptrdiff_t reachable =
+        std::count_if(replicas.begin(), replicas.end(), [&](const std::string& id) {
+            const proxy_instance& instance = *instances_.at(id);
+            const bool silent = instance.last_answer() < witnesses_silent_at_;
+            return (instance.is_usable() && !silent) || current - instance.last_answer() < witness_silence;
+        });
+    return reachable > 0 && (is_list_current() || reachable == std::ssize(replicas));
 }
 
 void database_group::check_unconfirmed_commits(time_point current) {
@@ -1157,7 +1255,7 @@
         return;
     }
     if (current - *ask_at < receipt_timeout) {
-        poll_nearest_replica();
+        poll_witness();
         return;
     }
     poll_replicas();
@@ -1221,7 +1319,7 @@
         unfenced_reports_.clear();
         trust_from_record_ = false;
         read_points_.clear();
-        received_position_ = {};
+        received_positions_.clear();
     }
     if ((term != term_ || !id.empty()) && settlement_.is_settled_without_primary()) {
         settlement_.unsettle(now());
@@ -1272,7 +1370,15 @@
         return;
     }
     // renew_evidence() polls the others if it does not answer.
-    poll_nearest_replica();
+    poll_witness();
+}
+
+void database_group::poll_witness() {
+    if (is_list_current()) {
+        poll_nearest_replica();
+    } else {
+        poll_replicas();
+    }
 }
 
 void database_group::poll_nearest_replica() {
@@ -1474,11 +1580,16 @@
 }
 
 void database_group::use_replica_logs() {
+    // A daemon may have confirmed a commit by an instance that has departed.
     if (!replica_logs_ || replica_logs_->replicas < min_replicas || limits_.sync_replicas == 0 ||
-        !settlement_.is_settled()) {
+        !settlement_.is_settled() || !departed_ids().empty()) {
         replica_logs_.reset();
         return;
     }
+    if (!knows_departures()) {
+        check_departures();
+        return;
+    }
     // A replica counts for the confirmation of commits once a daemon has listed it for the trust window. So a
     // list that is older than the poll by no more than that names each one that may hold a confirmed commit
     // of before the poll.
@@ -1498,6 +1609,37 @@
     place_waiting_tasks();
 }
 
+bool database_group::knows_all(const std::vector<std::string>& recorded) const {
+    const std::vector<std::string> known = keys_to_record();
+    return std::all_of(recorded.begin(), recorded.end(), [&known](const std::string& key) {
+        return std::find(known.begin(), known.end(), key) != known.end();
+    });
+}
+
+void database_group::check_departures() {
+    const time_point current = now();
+    if (checking_departures_ || !read_recorded_members ||
+        current - departures_checked_at_ < record_read_interval) {
+        return;
+    }
+    checking_departures_ = true;
+    departures_checked_at_ = current;
+    read_recorded_members([this, since = departures_known_since_, alive = std::weak_ptr<bool>(alive_)](
+                              const std::optional<std::vector<std::string>>& recorded) {
+        if (alive.expired()) {
+            return;
+        }
+        checking_departures_ = false;
+        const bool is_complete = recorded && since == departures_known_since_ && knows_all(*recorded);
+        log_.write(log_level::info, "group", "departures_checked",
+                   {{"group", name_}, {"recorded", recorded.has_value()}, {"complete", is_complete}});
+        if (is_complete) {
+            departures_known_since_ = now() - departure_limit();
+            use_replica_logs();
+        }
+    });
+}
+
 void database_group::on_members_listed(time_point sent_at) {
     members_listed_at_ = std::max(members_listed_at_, sent_at);
     use_replica_logs();
@@ -1537,7 +1679,7 @@
 void database_group::renew_trust_in_use(time_point current) {
     const bool in_use = current - last_trust_use_ < trust_use_interval;
     if (in_use && trust_.covers(current) && !trust_.covers(current + trust_renewal_lead)) {
-        poll_nearest_replica();
+        poll_witness();
     }
 }
 
@@ -1568,6 +1710,7 @@
 void database_group::tick() {
     removed_.clear();
     const time_point current = now();
+    expire_departed(current);
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
         entry.second->tick();
     }
@@ -1662,6 +1805,15 @@
     return keys;
 }
 
+std::vector<std::string> database_group::keys_to_record() const {
+    std::vector<std::string> keys = member_keys();
+    for (const std::string& id : departed_ids()) {
+        keys.push_back(id + "@" + std::to_string(departed_.at(id).instance->listed().started_at_ms));
+    }
+    std::sort(keys.begin(), keys.end());
+    return keys;
+}
+
 std::string database_group::primary_to_replace() const {
     if (!primary_id_.empty()) {
         return primary_id_;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -51,6 +51,9 @@
     /// Time for which a primary is trusted after evidence that it leads. A promotion takes effect only after
     /// this time has passed since its fences.
     duration trust_window = std::chrono::milliseconds(600);
+    /// Age of the list of instances up to which the word of a single replica counts. Covers two long polls of
+    /// the store and one of another daemon. Must be the same on all daemons.
+    duration member_list_limit = std::chrono::milliseconds(7000);
     /// Subtracted from the staleness that a route allows, to cover the transit time of the answer.
     duration staleness_margin = std::chrono::milliseconds(100);
     /// Cost added for an instance in another zone, in ms.
@@ -114,6 +117,12 @@
     /// several requests at once cost one call. Without it, no read is served by the logs of the replicas
     /// alone.
     std::function<void()> list_members;
+    /// Reads the recorded members (see `member_record`).
+    std::function<void(std::function<void(const std::optional<std::vector<std::string>>&)> done)>
+        read_recorded_members;
+    /// Moment as of which this daemon's list of instances is complete; without it, the list counts as
+    /// current.
+    std::function<std::optional<time_point>()> members_current_as_of;
     /// Calls an action later; without it, periodic work alone finds what is due.
     std::function<void(duration delay, std::function<void()> action)> call_after;
 
@@ -126,8 +135,12 @@
 
     /// Adds an instance, or applies a change of its entry.
     void update_instance(const listed_instance& listed);
-    /// Removes an instance and closes its connections.
+    /// Removes an instance and closes its connections. Promotions go on fencing it until it has ended or no
+    /// daemon can believe it any longer.
     void remove_instance(const std::string& id);
+    /// Records that changes of the list may have been missed before `moment`, so that an instance may have
+    /// joined and departed unseen.
+    void on_list_gap(time_point moment) { departures_known_since_ = moment; }
     /// Applies the group's limits. Each instance's connections are divided among `proxies` proxies; 0 keeps
     /// the current share.
     void set_limits(const group_limits& limits, std::size_t proxies);
@@ -220,6 +233,20 @@
     [[nodiscard]] std::string member_key(const std::string& id) const;
     /// Keys of all members, sorted by id.
     [[nodiscard]] std::vector<std::string> member_keys() const;
+    /// The same with the departed instances that may still receive.
+    [[nodiscard]] std::vector<std::string> keys_to_record() const;
+    /// Departed instances that may still receive from the primary.
+    [[nodiscard]] std::vector<std::string> departed_ids() const;
+    [[nodiscard]] bool is_departed(const std::string& id) const;
+    /// Time by which no daemon believes a departed instance any longer; nothing if there is none.
+    [[nodiscard]] std::optional<time_point> departures_end() const;
+    /// True if no instance can have departed unseen that another daemon still believes.
+    [[nodiscard]] bool knows_departures() const { return now() >= departures_known_at(); }
+    [[nodiscard]] time_point departures_known_at() const {
+        return departures_known_since_ + departure_limit();
+    }
+    /// True if each of the recorded members is listed or known to have departed.
+    [[nodiscard]] bool knows_all(const std::vector<std::string>& recorded) const;
     /// Current primary or, when none is known, the only instance whose entry claims that role; empty
     /// otherwise, and when the group is settled by its former primary.
     [[nodiscard]] std::string primary_to_replace() const;
@@ -232,6 +259,8 @@
     [[nodiscard]] term_number term() const { return term_; }
     [[nodiscard]] const primary_failure_detector& failure_detector() const { return failure_detector_; }
     [[nodiscard]] proxy_instance* find(const std::string& id);
+    /// The same, or a departed instance that may still receive.
+    [[nodiscard]] proxy_instance* find_member(const std::string& id);
     [[nodiscard]] const std::map<std::string, std::unique_ptr<proxy_instance>>& instances() const {
         return instances_;
     }
@@ -309,14 +338,30 @@
     /// Requests proof that a replica has received the unconfirmed commits, and gives up those for which there
     /// can be none.
     void check_unconfirmed_commits(time_point current);
-    /// True if every promotion that may end the trust of this daemon in the primary asks this instance.
+    /// True if every promotion that may end the trust of this daemon in the primary asks this instance, as
+    /// far as the list of instances is current.
     [[nodiscard]] bool is_witness(const proxy_instance& instance) const;
+    /// True if the list of instances is current. Otherwise any one of them may have departed, and only the
+    /// word of all replicas counts.
+    [[nodiscard]] bool is_list_current() const;
+    /// Time for which a departed instance may be believed by a daemon whose list is older.
+    [[nodiscard]] duration departure_limit() const {
+        return settings_.member_list_limit + settings_.trust_window;
+    }
+    /// Position of the present term that a witness has received, or all replicas if the list is not current.
+    [[nodiscard]] log_position received_position() const;
+    /// Keeps a removed instance for the promotions.
+    void add_departed(const listed_instance& listed);
+    void forget_departed(const std::string& id);
+    void expire_departed(time_point current);
     /// Time of the latest answer of any listed replica.
     [[nodiscard]] std::optional<time_point> last_replica_answer() const;
     /// True if a listed replica is believed to answer; it can confirm commits now, or once it is a witness.
     [[nodiscard]] bool has_reachable_replica() const;
     /// Polls the usable replica that is nearest, unless one is being polled.
     void poll_nearest_replica();
+    /// Polls as many replicas as it takes to confirm a commit.
+    void poll_witness();
     [[nodiscard]] std::vector<std::string> replica_ids() const;
     /// Confirms trust when not all replicas can be polled, from the answer of one replica and the promotion
     /// record in the store.
@@ -346,6 +391,8 @@
     /// Adds the read point of the last complete poll of the replicas once the members are known to be
     /// current.
     void use_replica_logs();
+    /// Reads the recorded members to learn whether one has departed before this daemon listed the others.
+    void check_departures();
     void poll_replicas();
     void poll_for_settlement(time_point current);
     void check_recovery(time_point current);
@@ -376,6 +423,19 @@
 
     std::map<std::string, std::unique_ptr<proxy_instance>> instances_;
     std::vector<std::unique_ptr<proxy_instance>> removed_;
+    /// Instance whose entry has lapsed. It may be cut from the store alone and still receive from the
+    /// primary.
+    struct departed_instance {
+        std::unique_ptr<proxy_instance> instance;
+        time_point removed_at;
+        /// Nothing listens at its address any more.
+        bool has_ended = false;
+    };
+    std::map<std::string, departed_instance> departed_;
+    /// Time since which no change of the list was missed.
+    time_point departures_known_since_;
+    bool checking_departures_ = false;
+    time_point departures_checked_at_;
     std::string primary_id_;
     term_number term_ = 0;
     primary_trust trust_;
@@ -385,8 +445,8 @@
     time_point last_replica_read_;
     /// Time at which no replica had answered for so long that unconfirmed commits were given up.
     time_point witnesses_silent_at_;
-    /// Highest position of the present term that a witness has received.
-    log_position received_position_;
+    /// Highest positions of the present term that the witnesses have received.
+    std::map<std::string, log_position> received_positions_;
     /// The promotion record is being read to learn whether the primary that has left was the last one.
     bool checking_lost_primary_ = false;
     time_point lost_primary_checked_at_;
--- a/gentianhill/proxy/failover_driver.cpp
+++ b/gentianhill/proxy/failover_driver.cpp
@@ -54,7 +54,7 @@
 
 void failover_driver::start_if_settled(primary_verdict verdict) {
     trusted_members_.clear();
-    if (group_.is_settled()) {
+    if (group_.is_settled() && group_.knows_departures()) {
         start(verdict);
         return;
     }
@@ -62,6 +62,11 @@
     port_.recorded_members(group_.name(), [this, verdict, era = lease_.era()](
                                               const std::optional<std::vector<std::string>>& recorded) {
         reading_members_ = false;
+        // A settled group needs the record only to learn of members that have departed unseen.
+        if (recorded && group_.is_settled() && group_.knows_all(*recorded)) {
+            start(verdict);
+            return;
+        }
         if (recorded && all_present(*recorded)) {
             trusted_members_ = group_.member_keys();
             trusted_era_ = era;
@@ -91,6 +96,7 @@
         members.push_back({listed.id, listed.draining, listed.claims_primary});
         has_candidate = has_candidate || (!listed.draining && listed.id != group_.primary_id());
     }
+    const std::string old_primary = add_departed(members);
     // A draining primary is replaced only by an instance that is not draining itself.
     if (verdict == primary_verdict::leaving && !has_candidate) {
         return;
@@ -100,7 +106,7 @@
         std::make_shared<fenced_promotion>(group_.name(), lease_, log_, settings_.promotion, make_hooks());
     const std::shared_ptr<fenced_promotion> started = running_;
     started->start(
-        std::move(members), group_.primary_to_replace(), group_.term(), verdict, replace_replicating,
+        std::move(members), old_primary, group_.term(), verdict, replace_replicating,
         [this, alive = std::weak_ptr<bool>(alive_)](fenced_promotion_outcome outcome, const std::string& id) {
             if (!alive.expired()) {
                 on_promotion_end(outcome, id);
@@ -108,12 +114,25 @@
         });
 }
 
+std::string failover_driver::add_departed(std::vector<promotion_member>& members) const {
+    std::string old_primary = group_.primary_to_replace();
+    for (const std::string& id : group_.departed_ids()) {
+        if (!group_.has_led(id)) {
+            members.push_back({id, false, false, true});
+        } else if (old_primary.empty()) {
+            old_primary = id;
+        }
+    }
+    return old_primary;
+}
+
 fenced_promotion_hooks failover_driver::make_hooks() {
     fenced_promotion_hooks hooks;
     hooks.ask_status = [this](const std::string& id, const fenced_promotion_hooks::answer_handler& done) {
         call_instance(id, command_kind::status, 0, done);
     };
     hooks.has_led = [this](const std::string& id) { return group_.has_led(id); };
+    hooks.has_ended = [this](const std::string& id) { return !group_.is_departed(id); };
     hooks.known_term = [this] { return group_.term(); };
     hooks.known_primary = [this] { return group_.primary_id(); };
     hooks.fence = [this](const std::string& id, term_number term,
@@ -177,7 +196,7 @@
     if (!call->done || group_.now() >= call->deadline) {
         return;
     }
-    proxy_instance* instance = group_.find(call->id);
+    proxy_instance* instance = group_.find_member(call->id);
     pooled_connection* connection = instance != nullptr ? connection_for(*instance, call->kind) : nullptr;
     if (connection == nullptr) {
         // The connection is still being opened, or cannot be opened yet.
@@ -219,7 +238,7 @@
     }
     // Close the connection: a call delayed by a network partition could otherwise arrive when the partition
     // heals, during a promotion by another daemon.
-    proxy_instance* instance = group_.find(call.id);
+    proxy_instance* instance = group_.find_member(call.id);
     if (instance != nullptr && call.connection_number != 0) {
         instance->drop_overdue(call.connection_number);
     }
--- a/gentianhill/proxy/failover_driver.h
+++ b/gentianhill/proxy/failover_driver.h
@@ -64,6 +64,9 @@
     void start_if_settled(primary_verdict verdict);
     [[nodiscard]] bool reaches_replicas() const;
     [[nodiscard]] bool all_present(const std::vector<std::string>& recorded) const;
+    /// Adds the departed instances that may still receive; returns the primary to be replaced, which may be
+    /// one of them.
+    [[nodiscard]] std::string add_departed(std::vector<promotion_member>& members) const;
     [[nodiscard]] fenced_promotion_hooks make_hooks();
     /// Status, fence, unfence or step-down call to one instance. `done` is called once, with nothing on
     /// timeout.
--- a/gentianhill/proxy/member_record.h
+++ b/gentianhill/proxy/member_record.h
@@ -33,6 +33,8 @@
     /// Reads the members from the store; `done` receives nothing when there is no valid record or the store
     /// does not answer.
     void read(const members_handler& done);
+    /// True if this daemon knows of a record.
+    [[nodiscard]] bool exists() const { return recorded().has_value(); }
     /// Adds members to an existing record; does nothing when there is none.
     void add(const std::vector<std::string>& members);
     /// Replaces the record with members that together hold every acknowledged commit.
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -35,6 +35,8 @@
 constexpr duration slow_event_pause = 250ms;
 /// Entries of instances change often in ways that matter to nobody here.
 constexpr duration instance_event_pause = 700ms;
+/// Longest duration of a long poll of the instances; bounds the age of their list.
+constexpr duration max_instance_poll_wait = 2s;
 /// Shortest interval between two lists of the instances for reads that rest on the logs of all replicas.
 constexpr duration member_list_pause = 100ms;
 /// Age of a source's state beyond the duration of one long poll at which the source counts as stale.
@@ -138,6 +140,7 @@
 }
 
 collection_watch_settings instance_watch(collection_watch_settings settings) {
+    settings.wait = std::min(settings.wait, max_instance_poll_wait);
     settings.event_pause = instance_event_pause;
     return settings;
 }
@@ -218,6 +221,9 @@
     relay_.configuration_confirmed_at = [this] { return key_lease_.confirmed_at(); };
     relay_.on_configuration_confirmed = [this](time_point moment) { key_lease_.confirm(moment); };
     configuration_watch_.on_complete = [this](time_point asked_at) { key_lease_.confirm(asked_at); };
+    instance_watch_.on_complete = [this](time_point asked_at) { confirm_instances(asked_at); };
+    relay_.instances_confirmed_at = [this] { return instances_confirmed_at_; };
+    relay_.on_instances_confirmed = [this](time_point moment) { confirm_instances(moment); };
     evidence_.now = ports_.now;
     quota_.now = ports_.now;
     quota_.call_after = ports_.call_after;
@@ -322,6 +328,7 @@
     if (relay_.is_store_reachable() && instances_current) {
         catalog_.expire(now);
     }
+    note_list_age(now);
     directory_.tick(relay_.is_store_reachable());
     relay_.tick();
     owners_.tick(daemon_watch_.replica().has_state());
@@ -385,7 +392,12 @@
     added->read_promoted_term = [this, name](std::function<void(std::optional<term_number>)> done) {
         lease_.read_promoted_term(name, std::move(done));
     };
+    added->read_recorded_members =
+        [this, name](std::function<void(const std::optional<std::vector<std::string>>&)> done) {
+            member_records_.at(name)->read(std::move(done));
+        };
     added->list_members = [this] { list_members(); };
+    added->members_current_as_of = [this] { return instances_confirmed_at_; };
     added->call_after = ports_.call_after;
     added->ask_zone = [this, name](const evidence_need& need, zone_evidence::answer_handler done) {
         const bool is_asked = evidence_.ask(name, need, std::move(done));
@@ -459,14 +471,31 @@
         }
         if (pending.replace_at && now >= *pending.replace_at) {
             pending.replace_at.reset();
-            // A member that has left meanwhile may hold the only copy of a commit again.
-            if (members.is_settled_for_others()) {
-                record.replace(members.member_keys());
-            }
+            replace_record(entry.first, pending);
         }
     }
 }
 
+void proxy::replace_record(const std::string& group_name, pending_record& pending) {
+    const database_group& members = *groups_.at(group_name);
+    member_record& record = *member_records_.at(group_name);
+    // A member that has left meanwhile may hold the only copy of a commit again.
+    if (!members.is_settled_for_others()) {
+        return;
+    }
+    const duration own_delay = record_time(group_name) - ports_.now();
+    if (!members.knows_departures() && record.exists()) {
+        // The record may name an instance that departed before this daemon listed the others.
+        record.add(members.keys_to_record());
+        pending.replace_at = members.departures_known_at() + own_delay;
+        return;
+    }
+    record.replace(members.keys_to_record());
+    if (members.departures_end()) {
+        pending.replace_at = *members.departures_end() + own_delay;
+    }
+}
+
 void proxy::record_terms(time_point now) {
     if (!duty_watch_.replica().has_state() || stop_.is_requested() || lease_.era() == 0) {
         return;
@@ -550,6 +579,24 @@
     });
 }
 
+void proxy::confirm_instances(time_point moment) {
+    instances_confirmed_at_ = std::max(instances_confirmed_at_.value_or(moment), moment);
+}
+
+void proxy::note_list_age(time_point now) {
+    if (!instances_confirmed_at_) {
+        return;
+    }
+    const duration age = now - *instances_confirmed_at_;
+    const bool is_old = age > settings_.group.member_list_limit;
+    if (is_old != is_list_old_) {
+        is_list_old_ = is_old;
+        log_.write(is_old ? log_level::warning : log_level::info, "proxy",
+                   is_old ? "instance_list_old" : "instance_list_current",
+                   {{"age_ms", to_milliseconds(age)}});
+    }
+}
+
 void proxy::on_instances(const std::vector<stored_object>& objects) {
     std::vector<listed_instance> listed;
     for (const stored_object& object : objects) {
@@ -557,7 +604,12 @@
             listed.push_back(std::move(*instance));
         }
     }
-    catalog_.apply_list(listed, ports_.now());
+    const time_point now = ports_.now();
+    catalog_.apply_list(listed, now);
+    for (const std::map<std::string, std::unique_ptr<database_group>, std::less<>>::value_type& entry :
+         groups_) {
+        entry.second->on_list_gap(now);
+    }
 }
 
 void proxy::on_instance_event(const store_event& event) {
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -182,6 +182,11 @@
     /// the records of all groups.
     void observe_era();
     void record_members(time_point now);
+    void replace_record(const std::string& group_name, pending_record& pending);
+    /// Records that the list of instances is complete as of `moment`.
+    void confirm_instances(time_point moment);
+    /// Logs when the list of instances becomes old or current.
+    void note_list_age(time_point now);
     void record_terms(time_point now);
     [[nodiscard]] database_group& group(const std::string& name);
     /// Lists the instances of a group from the store, page by page; `era` is that of the pages before.
@@ -236,6 +241,9 @@
     bool listing_members_ = false;
     /// Time at which the instances were last requested for all groups.
     time_point members_listed_at_;
+    std::optional<time_point> instances_confirmed_at_;
+    /// The list of instances is too old for the word of a single replica to count.
+    bool is_list_old_ = false;
 };
 
 } // namespace gentianhill
--- a/gentianhill/relay/content_exchange.cpp
+++ b/gentianhill/relay/content_exchange.cpp
@@ -140,6 +140,9 @@
         if (update->first == store_collection::configuration) {
             waiting.answer.configuration_age = std::exchange(answer.configuration_age, std::nullopt);
         }
+        if (update->first == store_collection::instances) {
+            waiting.answer.instances_age = std::exchange(answer.instances_age, std::nullopt);
+        }
         waiting.answer.updates.insert(answer.updates.extract(update++));
     }
     if (answer.configuration_reference && is_missing(*answer.configuration_reference)) {
--- a/gentianhill/relay/relay_messages.cpp
+++ b/gentianhill/relay/relay_messages.cpp
@@ -214,6 +214,9 @@
     if (configuration_age) {
         value["configuration_age_us"] = clamp(*configuration_age);
     }
+    if (instances_age) {
+        value["instances_age_us"] = clamp(*instances_age);
+    }
     nlohmann::json collections = nlohmann::json::object();
     for (const std::map<store_collection, collection_update>::value_type& entry : updates) {
         collections[std::string(to_string(entry.first))] = update_to_json(entry.second);
@@ -240,6 +243,11 @@
     if (configuration_age) {
         answer.configuration_age = duration(*configuration_age);
     }
+    const std::optional<std::int64_t> instances_age =
+        reader.optional_integer("instances_age_us", 0, max_duration.count());
+    if (instances_age) {
+        answer.instances_age = duration(*instances_age);
+    }
     answer.is_behind = reader.boolean("is_behind", false);
     const nlohmann::json& updates = reader.any("updates");
     for (const store_collection collection : all_collections) {
--- a/gentianhill/relay/relay_messages.h
+++ b/gentianhill/relay/relay_messages.h
@@ -72,6 +72,9 @@
     /// Time since a moment as of which the receiver's configuration is complete once it has applied this
     /// answer, when the answer was made; nothing when that is not known.
     std::optional<duration> configuration_age{};
+    /// Time from a moment as of which the receiver's list of instances is complete once it has applied this
+    /// answer to the receipt of the request; nothing when that is not known.
+    std::optional<duration> instances_age{};
 
     [[nodiscard]] nlohmann::json to_json() const;
     /// Errors: those of object_reader; out_of_range for more objects than an answer may hold.
--- a/gentianhill/relay/state_relay.cpp
+++ b/gentianhill/relay/state_relay.cpp
@@ -328,20 +328,26 @@
         note_heard(asked_at - answer.age);
     }
     // The state may have been replaced while the contents of the answer were on their way.
-    const auto configuration_update = answer.updates.find(watches_.front()->collection());
-    const bool is_in_effect =
-        configuration_update == answer.updates.end() || holds(configuration_update->second.version);
-    if (answer.configuration_age && is_in_effect && on_configuration_confirmed) {
+    if (answer.configuration_age && holds(*watches_.front(), answer) && on_configuration_confirmed) {
         on_configuration_confirmed(asked_at - *answer.configuration_age);
     }
+    const collection_watch* instances = find(store_collection::instances);
+    if (answer.instances_age && instances != nullptr && holds(*instances, answer) && on_instances_confirmed) {
+        on_instances_confirmed(asked_at - *answer.instances_age);
+    }
     if (answer.configuration && on_configuration) {
         log_.write(log_level::info, "relay", "configuration_received", {{"daemon", answer.daemon}});
         on_configuration(*answer.configuration);
     }
 }
 
-bool state_relay::holds(store_version version) const {
-    const collection_replica& replica = watches_.front()->replica();
+bool state_relay::holds(const collection_watch& watch, const state_answer& answer) {
+    const auto update = answer.updates.find(watch.collection());
+    if (update == answer.updates.end()) {
+        return true;
+    }
+    const store_version& version = update->second.version;
+    const collection_replica& replica = watch.replica();
     return replica.has_state() && replica.version().era == version.era &&
            replica.version().revision >= version.revision;
 }
@@ -528,7 +534,7 @@
     return update;
 }
 
-state_answer state_relay::make_answer(const state_request& request) {
+state_answer state_relay::make_answer(const state_request& request, time_point received_at) {
     state_answer answer;
     answer.daemon = directory_.name();
     answer.store_reachable = is_store_reachable();
@@ -547,7 +553,11 @@
             answer.updates.emplace(watch->collection(), make_update(*watch, known, request.takes_references));
         }
     }
-    answer.configuration_age = configuration_age_for(request, answer);
+    answer.configuration_age = age_for(*watches_.front(), configuration_confirmed_at, now(), request, answer);
+    const collection_watch* instances = find(store_collection::instances);
+    if (instances != nullptr) {
+        answer.instances_age = age_for(*instances, instances_confirmed_at, received_at, request, answer);
+    }
     const stored_object* in_effect = configuration ? configuration() : nullptr;
     if (in_effect != nullptr && request.configuration_version &&
         *request.configuration_version < configuration_version() &&
@@ -560,22 +570,22 @@
     return answer;
 }
 
-std::optional<duration> state_relay::configuration_age_for(const state_request& request,
-                                                           const state_answer& answer) const {
-    const collection_watch& first = *watches_.front();
-    const std::optional<time_point> confirmed =
-        configuration_confirmed_at ? configuration_confirmed_at() : std::nullopt;
-    if (!confirmed || !first.replica().has_state()) {
+std::optional<duration> state_relay::age_for(const collection_watch& watch,
+                                             const std::function<std::optional<time_point>()>& confirmed,
+                                             time_point moment, const state_request& request,
+                                             const state_answer& answer) {
+    const std::optional<time_point> confirmed_at = confirmed ? confirmed() : std::nullopt;
+    if (!confirmed_at || !watch.replica().has_state()) {
         return std::nullopt;
     }
-    const auto known = request.versions.find(first.collection());
+    const auto known = request.versions.find(watch.collection());
     const bool has_all = known != request.versions.end() &&
-                         known->second.era == first.replica().version().era &&
-                         !first.replica().has_changes_since(known->second);
-    if (!has_all && answer.updates.count(first.collection()) == 0) {
+                         known->second.era == watch.replica().version().era &&
+                         !watch.replica().has_changes_since(known->second);
+    if (!has_all && answer.updates.count(watch.collection()) == 0) {
         return std::nullopt;
     }
-    return std::max(now() - *confirmed, duration(0));
+    return std::max(moment - *confirmed_at, duration(0));
 }
 
 void state_relay::on_request(const nlohmann::json& message, relay_answer_handler respond) {
@@ -599,12 +609,12 @@
     }
     if (request->wait == duration(0) || has_news_for(*request) || held_.size() >= max_held_requests) {
         requests_answered_.add();
-        respond(make_answer(*request).to_json(), {});
+        respond(make_answer(*request, now()).to_json(), {});
         return;
     }
-    held_.emplace(
-        request->daemon,
-        held_request{*request, now() + std::min(request->wait, settings_.poll_wait), std::move(respond)});
+    held_.emplace(request->daemon,
+                  held_request{*request, now(), now() + std::min(request->wait, settings_.poll_wait),
+                               std::move(respond)});
 }
 
 void state_relay::answer_held() {
@@ -616,7 +626,7 @@
             continue;
         }
         requests_answered_.add();
-        held.respond(make_answer(held.request).to_json(), {});
+        held.respond(make_answer(held.request, held.received_at).to_json(), {});
         entry = held_.erase(entry);
     }
 }
--- a/gentianhill/relay/state_relay.h
+++ b/gentianhill/relay/state_relay.h
@@ -84,6 +84,9 @@
     std::function<std::optional<time_point>()> configuration_confirmed_at;
     /// Called when another daemon has shown that the configuration is complete as of `moment`; may be empty.
     std::function<void(time_point moment)> on_configuration_confirmed;
+    /// The same for the list of instances.
+    std::function<std::optional<time_point>()> instances_confirmed_at;
+    std::function<void(time_point moment)> on_instances_confirmed;
     /// Called with the configuration that is in effect at another daemon.
     std::function<void(const stored_object&)> on_configuration;
 
@@ -117,6 +120,7 @@
     };
     struct held_request {
         state_request request;
+        time_point received_at;
         time_point deadline;
         relay_answer_handler respond;
     };
@@ -145,8 +149,8 @@
     /// Applies an answer of the daemon at `sender`; what lacks contents is applied when they have arrived.
     void receive(state_answer answer, time_point asked_at, const endpoint& sender);
     void apply(const state_answer& answer, time_point asked_at);
-    /// True when the configuration's replica holds all changes up to a version of the same era.
-    [[nodiscard]] bool holds(store_version version) const;
+    /// True if a collection holds all changes of an answer that was applied.
+    [[nodiscard]] static bool holds(const collection_watch& watch, const state_answer& answer);
     void on_contents_failed(const endpoint& sender, const error& reason);
     /// Gives up a state that no healthy source has reached for long: it can't come from the store.
     void discard_if_ahead();
@@ -156,14 +160,16 @@
     [[nodiscard]] state_request make_request(bool with_content) const;
     /// Adds the version of the configuration in effect, so that the answer holds a higher one.
     void want_configuration(state_request& request) const;
-    [[nodiscard]] state_answer make_answer(const state_request& request);
+    [[nodiscard]] state_answer make_answer(const state_request& request, time_point received_at);
     /// Changes of a collection since the version that the sender of a request knows, or the whole.
     [[nodiscard]] collection_update make_update(const collection_watch& watch,
                                                 const std::optional<store_version>& known,
                                                 bool takes_references);
-    /// Age of the configuration that the receiver of an answer has once it has applied that.
-    [[nodiscard]] std::optional<duration> configuration_age_for(const state_request& request,
-                                                                const state_answer& answer) const;
+    /// Age at `moment` of a collection that is complete as of `confirmed` here, as the receiver of an answer
+    /// has it once it has applied that.
+    [[nodiscard]] static std::optional<duration>
+    age_for(const collection_watch& watch, const std::function<std::optional<time_point>()>& confirmed,
+            time_point moment, const state_request& request, const state_answer& answer);
     [[nodiscard]] bool has_news_for(const state_request& request) const;
     [[nodiscard]] bool lacks_state() const;
     [[nodiscard]] bool delivers(const std::string& name) const;
--- a/tests/failover/fenced_promotion_tests.cpp
+++ b/tests/failover/fenced_promotion_tests.cpp
@@ -22,6 +22,10 @@
     std::vector<std::pair<time_point, std::function<void()>>> scheduled;
 
     std::map<std::string, instance_status> statuses;
+    /// Instances that answer nothing.
+    std::set<std::string> silent;
+    /// Members whose entries have lapsed.
+    std::vector<promotion_member> departed;
     /// Instances that answer nothing after their fence.
     std::set<std::string> silent_after_fence;
     bool b_is_leaving = false;
@@ -34,6 +38,8 @@
     std::string known_primary = leader;
     term_number known_term = 4;
     std::vector<std::string> fenced;
+    /// Departed instances that count as ended.
+    std::set<std::string> ended;
     /// Instances that do not answer an unfence request.
     std::set<std::string> unfence_unanswered;
     std::vector<std::string> unfenced;
@@ -75,7 +81,8 @@
                 done(p_status ? std::optional(member_answer{1, *p_status}) : std::nullopt);
                 return;
             }
-            const bool is_silent = silent_after_fence.count(id) > 0 && statuses[id].fenced_term > 0;
+            const bool is_silent =
+                silent.count(id) > 0 || (silent_after_fence.count(id) > 0 && statuses[id].fenced_term > 0);
             done(is_silent ? std::nullopt : std::optional(member_answer{1, statuses[id]}));
         };
         hooks.fence = [this](const std::string& id, term_number term,
@@ -88,6 +95,10 @@
                 done(p_status ? std::optional(member_answer{1, *p_status}) : std::nullopt);
                 return;
             }
+            if (silent.count(id) > 0) {
+                done(std::nullopt);
+                return;
+            }
             if (statuses[id].term < term) {
                 statuses[id].fenced_term = term;
             }
@@ -108,6 +119,7 @@
                 done(std::vector<promotion_member>{
                     {"p", false, p_claims_primary}, {"a", false}, {"b", b_is_leaving}});
             };
+        hooks.has_ended = [this](const std::string& id) { return ended.count(id) > 0; };
         hooks.has_led = [this](const std::string& id) { return id == "p" && p_has_led; };
         hooks.known_term = [this] { return known_term; };
         hooks.known_primary = [this] { return known_primary; };
@@ -132,7 +144,9 @@
     void run(primary_verdict verdict = primary_verdict::not_committing) {
         const std::shared_ptr<fenced_promotion> promotion = std::make_shared<fenced_promotion>(
             "orders", *lease, log, fenced_promotion_settings{}, make_hooks());
-        promotion->start({{"p", false}, {"a", false}, {"b", false}}, "p", 4, verdict, false,
+        std::vector<promotion_member> members{{"p", false}, {"a", false}, {"b", false}};
+        members.insert(members.end(), departed.begin(), departed.end());
+        promotion->start(members, "p", 4, verdict, false,
                          [this](fenced_promotion_outcome result, const std::string&) { end = result; });
         for (int step = 0; step < 100'000 && !scheduled.empty(); ++step) {
             const auto next =
@@ -367,3 +381,76 @@
     CHECK(calls == 0);
     CHECK(unfenced == std::vector<std::string>{"a", "b"});
 }
+
+namespace {
+
+/// The entry of c has lapsed, but c may live and receive.
+struct departed_member_fixture : public promotion_fixture {
+    departed_member_fixture() {
+        departed.emplace_back(promotion_member{"c", false, false, true});
+        statuses["c"] = statuses["a"];
+        on_call = [this] {
+            statuses["a"].is_primary = true;
+            statuses["a"].term = 5;
+        };
+    }
+};
+
+} // namespace
+
+// Guards against a promotion that does not fence a replica whose entry has lapsed although it lives.
+TEST_CASE_FIXTURE(departed_member_fixture, "fenced_promotion_departed_replica_is_fenced_and_not_chosen") {
+    run();
+    CHECK(*end == fenced_promotion_outcome::promoted);
+    CHECK(is_fenced("c"));
+}
+
+// Guards against losing commits that a daemon has confirmed through the departed replica.
+TEST_CASE_FIXTURE(departed_member_fixture,
+                  "fenced_promotion_departed_replica_with_the_longest_log_is_waited_for") {
+    statuses["c"].log_end.position += 1;
+    run();
+    CHECK(*end == fenced_promotion_outcome::replica_unreachable);
+    CHECK(calls == 0);
+    CHECK(unfenced == std::vector<std::string>{"a", "b", "c"});
+}
+
+TEST_CASE_FIXTURE(departed_member_fixture, "fenced_promotion_silent_departed_replica_is_waited_for") {
+    silent.insert("c");
+    run();
+    CHECK(*end == fenced_promotion_outcome::replica_unreachable);
+    CHECK(calls == 0);
+}
+
+// Guards against a promotion that waits for an instance that has ended.
+TEST_CASE_FIXTURE(departed_member_fixture,
+                  "fenced_promotion_departed_replica_that_has_ended_is_passed_over") {
+    silent.insert("c");
+    ended.insert("c");
+    run();
+    CHECK(*end == fenced_promotion_outcome::promoted);
+}
+
+// Guards against a departed replica that was taken for ended, answers later and has not been fenced.
+TEST_CASE_FIXTURE(departed_member_fixture,
+                  "fenced_promotion_departed_replica_that_answers_again_ends_the_promotion") {
+    silent.insert("c");
+    ended.insert("c");
+    scheduled.emplace_back(current + 100ms, [this] { silent.clear(); });
+    run();
+    CHECK(*end == fenced_promotion_outcome::fence_lost);
+    CHECK(calls == 0);
+}
+
+// Guards against a primary whose entry has lapsed and that is never replaced, because it still leads.
+TEST_CASE_FIXTURE(departed_member_fixture,
+                  "fenced_promotion_departed_primary_of_the_known_term_is_replaced") {
+    know_claimant_only();
+    p_claims_primary = true;
+    statuses["c"].is_primary = true;
+    p_status = statuses["a"];
+    p_status->log_end.position -= 1;
+    run(primary_verdict::missing);
+    CHECK(*end == fenced_promotion_outcome::promoted);
+    CHECK(!is_fenced("c"));
+}
--- a/tests/proxy/promotion_members_tests.cpp
+++ b/tests/proxy/promotion_members_tests.cpp
@@ -95,3 +95,99 @@
     write_for(2s);
     CHECK(deployment.service.violations().empty());
 }
+
+namespace {
+
+/// The first daemon is cut from the store and goes on believing i-3, whose entry lapses although it lives.
+/// The second daemon, which has settled the group without it, does not reach the primary.
+struct lapsed_replica_fixture : public promotion_members_fixture {
+    /// Longer than entries that have lapsed are kept, and than the settlement of the group takes.
+    static constexpr duration settlement_time = 3500ms;
+    /// Longer than any daemon may believe an instance that has departed.
+    static constexpr duration departure_time = 9s;
+
+    void lapse() {
+        cut_from_store(0, true);
+        deployment.unlist("i-3");
+    }
+    void cut_second_daemon_from_primary() {
+        write_for(settlement_time);
+        deployment.cut(1, "i-1", true);
+    }
+};
+
+} // namespace
+
+// Guards against LOST of review/14: commits that are confirmed through a replica which a promotion has not
+// fenced, because its entry has lapsed although it lives.
+TEST_CASE_FIXTURE(lapsed_replica_fixture, "promotion_members_lapsed_replica_that_lives_loses_no_commit") {
+    lapse();
+    cut_second_daemon_from_primary();
+    write_for(6s);
+    CHECK(deployment.service.promotions() > 0);
+    CHECK(deployment.service.violations().empty());
+}
+
+// The same while the promoting daemon does not reach the lapsed replica: it waits until no daemon believes
+// it.
+TEST_CASE_FIXTURE(lapsed_replica_fixture, "promotion_members_lapsed_replica_out_of_reach_is_waited_out") {
+    lapse();
+    deployment.cut(1, "i-3", true);
+    cut_second_daemon_from_primary();
+    write_for(3s);
+    CHECK(deployment.service.promotions() == 0);
+    write_for(departure_time);
+    CHECK(deployment.service.promotions() > 0);
+    CHECK(deployment.service.violations().empty());
+}
+
+// The same for a daemon that has started since, and knows of the lapsed replica by the record of members
+// only.
+TEST_CASE_FIXTURE(lapsed_replica_fixture, "promotion_members_daemon_that_started_after_the_lapse_waits") {
+    lapse();
+    write_for(2s);
+    deployment.kill(1);
+    write_for(1s);
+    deployment.start(1);
+    write_for(2s);
+    deployment.cut(1, "i-1", true);
+    write_for(3s);
+    CHECK(deployment.service.promotions() == 0);
+    write_for(departure_time + departure_time);
+    CHECK(deployment.service.promotions() > 0);
+    CHECK(deployment.service.violations().empty());
+}
+
+// Guards against a failover that waits for a replica that has ended.
+TEST_CASE_FIXTURE(promotion_members_fixture, "promotion_members_replica_that_has_ended_delays_no_promotion") {
+    deployment.service.set_up("i-3", false);
+    deployment.unlist("i-3");
+    write_for(5s);
+    deployment.service.set_up("i-1", false);
+    write_for(5s);
+    CHECK(deployment.service.promotions() == 1);
+}
+
+// Guards against a primary that is not replaced because it still leads, although its entry has lapsed.
+TEST_CASE_FIXTURE(promotion_members_fixture, "promotion_members_lapsed_primary_that_leads_is_replaced") {
+    deployment.unlist("i-1");
+    write_for(9s);
+    CHECK(deployment.service.promotions() == 1);
+    CHECK(deployment.service.violations().empty());
+}
+
+// Guards against commits that a daemon with an old list confirms through a single replica, which may have
+// departed.
+TEST_CASE_FIXTURE(promotion_members_fixture, "promotion_members_old_list_one_replica_confirms_no_commit") {
+    cut_from_store(0, true);
+    write_for(9s);
+    const std::size_t before = confirmed;
+    write_for(1s);
+    // Both replicas receive.
+    CHECK(confirmed > before);
+    deployment.service.set_cut("i-1", "i-2", true);
+    write_for(100ms);
+    const std::size_t confirmed_by_both = confirmed;
+    write_for(2s);
+    CHECK(confirmed == confirmed_by_both);
+}
