failover: replicas that leave are fenced first, by the list read under the duty

Cause: a leaving replica is chosen if it alone has the longest log, and fences were sent to all replicas at once, so it could receive a commit more than the others by chance. And the promoting daemon, whose own list was of before the announcement, ignored what the list that it reads under the duty says of replicas that it knows.

Ruled out: a second promotion that comes late (the instance led for a moment only; the next promotion followed at once).

Change: the list read under the duty marks known replicas as leaving. Those that should not be chosen, as they leave or their entry has lapsed, are fenced before the others, which then receive at least as much.

Tests: fenced_promotion_replicas_not_to_be_chosen_are_fenced_first, fenced_promotion_replica_that_leaves_by_the_present_list_is_not_chosen.

--- a/gentianhill/failover/fenced_promotion.cpp
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -61,34 +61,24 @@
     query_replicas();
 }
 
-void fenced_promotion::ask_all(bool fence, void (fenced_promotion::*next)()) {
-    answers_.clear();
-    unanswered_ = replicas_.size();
-    missing_answer_ = false;
-    const std::shared_ptr<fenced_promotion> self = shared_from_this();
-    // Copied, because an answer may arrive synchronously and end the promotion.
-    const std::vector<promotion_member> asked = replicas_;
+void fenced_promotion::ask(const std::vector<promotion_member>& asked, bool fence,
+                           const std::function<void()>& done) {
+    unanswered_ = asked.size();
+    if (asked.empty()) {
+        done();
+        return;
+    }
     for (const promotion_member& replica : asked) {
         fenced_promotion_hooks::answer_handler handler =
-            [self, next, fence, id = replica.id](const std::optional<member_answer>& answer) {
-                --self->unanswered_;
+            [self = shared_from_this(), done, id = replica.id](const std::optional<member_answer>& answer) {
                 if (answer) {
                     self->answers_.insert_or_assign(id, *answer);
                 } else {
-                    self->missing_answer_ = true;
                     self->log_.write(log_level::warning, "failover", "replica_silent",
                                      {{"group", self->group_}, {"instance", id}});
                 }
-                if (self->unanswered_ > 0) {
-                    return;
-                }
-                if (fence) {
-                    self->fenced_ = self->answers_;
-                }
-                if (self->missing_answer_ && !self->can_pass_over_missing()) {
-                    self->finish(fenced_promotion_outcome::replica_unreachable);
-                } else {
-                    ((*self).*next)();
+                if (--self->unanswered_ == 0) {
+                    done();
                 }
             };
         if (fence) {
@@ -99,6 +89,34 @@
     }
 }
 
+void fenced_promotion::ask_all(bool fence, void (fenced_promotion::*next)()) {
+    answers_.clear();
+    const std::function<void()> done = [self = shared_from_this(), fence, next] {
+        if (fence) {
+            self->fenced_ = self->answers_;
+        }
+        if (self->answers_.size() < self->replicas_.size() && !self->can_pass_over_missing()) {
+            self->finish(fenced_promotion_outcome::replica_unreachable);
+        } else {
+            ((*self).*next)();
+        }
+    };
+    // Copied, because an answer may arrive synchronously and end the promotion.
+    std::vector<promotion_member> first = replicas_;
+    std::vector<promotion_member> second;
+    if (fence) {
+        // Replicas that should not be chosen receive nothing more before the others, so that another one has
+        // the longest log if it can.
+        const std::vector<promotion_member>::iterator others =
+            std::stable_partition(first.begin(), first.end(), [](const promotion_member& replica) {
+                return replica.draining || replica.departed;
+            });
+        second.assign(others, first.end());
+        first.erase(others, first.end());
+    }
+    ask(first, fence, [self = shared_from_this(), second, fence, done] { self->ask(second, fence, done); });
+}
+
 log_position fenced_promotion::longest_log_end() const {
     log_position longest;
     for (const std::map<std::string, member_answer>::value_type& answer : answers_) {
@@ -297,12 +315,7 @@
 }
 
 void fenced_promotion::add_missing_members(const std::vector<promotion_member>& listed) {
-    for (promotion_member& replica : replicas_) {
-        const bool is_listed =
-            std::any_of(listed.begin(), listed.end(),
-                        [&replica](const promotion_member& member) { return member.id == replica.id; });
-        replica.departed = replica.departed && !is_listed;
-    }
+    update_members(listed);
     // An instance whose present entry says that it follows is a replica, even if an older one has claimed the
     // lead, unless it has answered itself that it led the newest term.
     const bool follows = std::any_of(listed.begin(), listed.end(), [this](const promotion_member& member) {
@@ -368,12 +381,25 @@
         });
 }
 
-void fenced_promotion::update_leaving(const std::vector<promotion_member>& listed) {
-    for (const promotion_member& replica : replicas_) {
+void fenced_promotion::update_members(const std::vector<promotion_member>& listed) {
+    for (promotion_member& replica : replicas_) {
         const std::vector<promotion_member>::const_iterator found =
             std::find_if(listed.begin(), listed.end(),
                          [&replica](const promotion_member& member) { return member.id == replica.id; });
-        if (replica.draining || found == listed.end() || found->draining) {
+        if (found != listed.end()) {
+            replica.draining = replica.draining || found->draining;
+            replica.departed = false;
+        }
+    }
+}
+
+void fenced_promotion::update_leaving(const std::vector<promotion_member>& listed) {
+    update_members(listed);
+    for (const promotion_member& replica : replicas_) {
+        const bool is_listed =
+            std::any_of(listed.begin(), listed.end(),
+                        [&replica](const promotion_member& member) { return member.id == replica.id; });
+        if (replica.draining || !is_listed) {
             leaving_.insert(replica.id);
         }
     }
--- a/gentianhill/failover/fenced_promotion.h
+++ b/gentianhill/failover/fenced_promotion.h
@@ -178,6 +178,8 @@
     /// Ends the promotion. The duty is released only with `nothing_pending`, that is, if no request to an
     /// instance or call to the platform may still be in flight.
     void report_outcome(fenced_promotion_outcome outcome, bool nothing_pending);
+    /// Fences instances or requests their status, and calls `done` once each has answered or timed out.
+    void ask(const std::vector<promotion_member>& asked, bool fence, const std::function<void()>& done);
     /// Fences all replicas or requests their status, and calls `next` once all have answered. Ends the
     /// promotion if one does not answer.
     void ask_all(bool fence, void (fenced_promotion::*next)());
@@ -186,6 +188,8 @@
     [[nodiscard]] bool is_known(const promotion_member& member) const;
     [[nodiscard]] bool has_unknown_member(const std::vector<promotion_member>& listed) const;
     void add_missing_members(const std::vector<promotion_member>& listed);
+    /// Applies what a list says of the replicas: whether they leave, and whether they are listed again.
+    void update_members(const std::vector<promotion_member>& listed);
     /// Marks the replicas that are leaving or have left.
     void update_leaving(const std::vector<promotion_member>& listed);
     /// True if every replica without an answer may be passed over: it has ended, or it has left after it was
--- a/tests/failover/fenced_promotion_tests.cpp
+++ b/tests/failover/fenced_promotion_tests.cpp
@@ -29,6 +29,9 @@
     /// Instances that answer nothing after their fence.
     std::set<std::string> silent_after_fence;
     bool b_is_leaving = false;
+    /// The list of the daemon that promotes, or the present one, says that a leaves.
+    bool a_is_listed_as_leaving = false;
+    bool a_leaves = false;
     /// Whether p has answered that it led the newest term, whether its entry still claims the lead, and its
     /// answer, if it answers.
     bool p_has_led = true;
@@ -117,7 +120,7 @@
         hooks.list_members =
             [this](const std::function<void(const std::optional<std::vector<promotion_member>>&)>& done) {
                 done(std::vector<promotion_member>{
-                    {"p", false, p_claims_primary}, {"a", false}, {"b", b_is_leaving}});
+                    {"p", false, p_claims_primary}, {"a", a_leaves}, {"b", b_is_leaving}});
             };
         hooks.has_ended = [this](const std::string& id) { return ended.count(id) > 0; };
         hooks.has_led = [this](const std::string& id) { return id == "p" && p_has_led; };
@@ -144,7 +147,7 @@
     void run(primary_verdict verdict = primary_verdict::not_committing) {
         const std::shared_ptr<fenced_promotion> promotion = std::make_shared<fenced_promotion>(
             "orders", *lease, log, fenced_promotion_settings{}, make_hooks());
-        std::vector<promotion_member> members{{"p", false}, {"a", false}, {"b", false}};
+        std::vector<promotion_member> members{{"p", false}, {"a", a_is_listed_as_leaving}, {"b", false}};
         members.insert(members.end(), departed.begin(), departed.end());
         promotion->start(members, "p", 4, verdict, false,
                          [this](fenced_promotion_outcome result, const std::string&) { end = result; });
@@ -454,3 +457,23 @@
     CHECK(*end == fenced_promotion_outcome::promoted);
     CHECK(!is_fenced("c"));
 }
+
+// Guards against the promotion of a leaving replica that has received more only because it was fenced later.
+TEST_CASE_FIXTURE(departed_member_fixture, "fenced_promotion_replicas_not_to_be_chosen_are_fenced_first") {
+    a_is_listed_as_leaving = true;
+    run();
+    CHECK(fenced == std::vector<std::string>{"a", "c", "b"});
+}
+
+// Guards against the promotion of a leaving replica by a daemon whose own list is of before its announcement.
+TEST_CASE_FIXTURE(promotion_fixture,
+                  "fenced_promotion_replica_that_leaves_by_the_present_list_is_not_chosen") {
+    a_leaves = true;
+    on_call = [this] {
+        statuses["b"].is_primary = true;
+        statuses["b"].term = 5;
+    };
+    run();
+    CHECK(*end == fenced_promotion_outcome::promoted);
+    CHECK(fenced == std::vector<std::string>{"a", "b"});
+}
