proxy: the group is settled anew once no daemon believes a lapsed replica

A commit that a daemon with an old list confirms through a lapsed replica may be newer than the evidence by which the group was settled after the removal. Once the replica is no longer fenced, a replica without this commit could be promoted: LOST.

Change: a removed replica counts as a member until it has ended, which is probed at once, or no daemon can believe it. Then the group is settled anew, by a position that the primary states after that. A primary that is removed is no witness, so this case is as before. A daemon that has started, or whose watch has missed changes, reads the record of members and settles anew if that names one that it does not know.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -15,6 +15,8 @@
 constexpr duration evidence_timeout = 30ms;
 /// Shortest interval between reads of the promotion record in the store.
 constexpr duration record_read_interval = 1000ms;
+/// Time after the list of instances by which the daemons have recorded the members, as a rule.
+constexpr duration departure_check_delay = 2s;
 /// Trust that would be slow to obtain again is renewed for this time after its last use.
 constexpr duration trust_retention = 2s;
 /// Unconfirmed commits are discarded after this time, which exceeds any route's timeout.
@@ -225,7 +227,10 @@
     unfenced_reports_.remove(id);
     received_positions_.erase(id);
     failure_detector_.on_replica_fence_state(id, false, now());
-    unsettle_by(id);
+    // A replica may still receive, and counts as a member until that is over.
+    if (has_led(id)) {
+        unsettle_by(id);
+    }
     if (id == primary_id_) {
         set_primary("", term_);
     }
@@ -255,18 +260,31 @@
     removed_.back()->close_all();
 }
 
-void database_group::expire_departed(time_point current) {
-    std::vector<std::string> expired;
-    for (const std::map<std::string, departed_instance>::value_type& entry : departed_) {
-        if (current - entry.second.removed_at >= departure_limit()) {
-            expired.push_back(entry.first);
-        } else {
-            entry.second.instance->tick();
+void database_group::resolve_departures(time_point current) {
+    std::vector<std::string> resolved;
+    for (std::map<std::string, departed_instance>::value_type& entry : departed_) {
+        departed_instance& departed = entry.second;
+        departed.instance->tick();
+        if (!departed.has_answered && is_watching()) {
+            departed.has_answered = departed.instance->control_connection() != nullptr;
+        }
+        if (departed.has_ended || current - departed.removed_at >= departure_limit()) {
+            resolved.push_back(entry.first);
         }
     }
-    for (const std::string& id : expired) {
+    for (const std::string& id : resolved) {
+        const bool has_ended = departed_.at(id).has_ended;
+        log_.write(log_level::info, "group", "departure_resolved",
+                   {{"group", name_}, {"instance", id}, {"ended", has_ended}});
+        if (!has_led(id)) {
+            settlement_.unsettle(current);
+        }
         forget_departed(id);
     }
+    if (!departures_resolved_ && is_watching() &&
+        current - departures_known_since_ >= departure_check_delay) {
+        check_departures();
+    }
 }
 
 proxy_instance* database_group::find_member(const std::string& id) {
@@ -274,29 +292,18 @@
     return departed == departed_.end() ? find(id) : departed->second.instance.get();
 }
 
-bool database_group::is_departed(const std::string& id) const {
-    const std::map<std::string, departed_instance>::const_iterator found = departed_.find(id);
-    return found != departed_.end() && !found->second.has_ended &&
-           now() - found->second.removed_at < departure_limit();
-}
-
 std::vector<std::string> database_group::departed_ids() const {
     std::vector<std::string> ids;
     for (const std::map<std::string, departed_instance>::value_type& entry : departed_) {
-        if (is_departed(entry.first)) {
-            ids.push_back(entry.first);
-        }
+        ids.push_back(entry.first);
     }
     return ids;
 }
 
-std::optional<time_point> database_group::departures_end() const {
-    std::optional<time_point> end;
-    for (const std::string& id : departed_ids()) {
-        const time_point own_end = departed_.at(id).removed_at + departure_limit();
-        end = std::max(end.value_or(own_end), own_end);
-    }
-    return end;
+std::vector<std::string> database_group::receiving_departed() const {
+    std::vector<std::string> ids = departed_ids();
+    std::erase_if(ids, [this](const std::string& id) { return has_led(id); });
+    return ids;
 }
 
 void database_group::unsettle_by(const std::string& id) {
@@ -1582,7 +1589,7 @@
 void database_group::use_replica_logs() {
     // A daemon may have confirmed a commit by an instance that has departed.
     if (!replica_logs_ || replica_logs_->replicas < min_replicas || limits_.sync_replicas == 0 ||
-        !settlement_.is_settled() || !departed_ids().empty()) {
+        !settlement_.is_settled() || !receiving_departed().empty()) {
         replica_logs_.reset();
         return;
     }
@@ -1630,16 +1637,31 @@
             return;
         }
         checking_departures_ = false;
-        const bool is_complete = recorded && since == departures_known_since_ && knows_all(*recorded);
-        log_.write(log_level::info, "group", "departures_checked",
-                   {{"group", name_}, {"recorded", recorded.has_value()}, {"complete", is_complete}});
-        if (is_complete) {
-            departures_known_since_ = now() - departure_limit();
-            use_replica_logs();
+        if (since == departures_known_since_) {
+            on_departures_checked(recorded);
         }
     });
 }
 
+void database_group::on_departures_checked(const std::optional<std::vector<std::string>>& recorded) {
+    const bool is_complete = recorded && knows_all(*recorded);
+    const bool is_over = now() - departures_known_since_ >= departure_limit();
+    log_.write(log_level::info, "group", "departures_checked",
+               {{"group", name_},
+                {"recorded", recorded.has_value()},
+                {"complete", is_complete},
+                {"is_over", is_over}});
+    if (!is_complete && !is_over) {
+        return;
+    }
+    departures_resolved_ = true;
+    if (!is_complete) {
+        // An unknown instance may have taken the only copy of a commit with it until now.
+        settlement_.unsettle(now());
+    }
+    use_replica_logs();
+}
+
 void database_group::on_members_listed(time_point sent_at) {
     members_listed_at_ = std::max(members_listed_at_, sent_at);
     use_replica_logs();
@@ -1710,7 +1732,7 @@
 void database_group::tick() {
     removed_.clear();
     const time_point current = now();
-    expire_departed(current);
+    resolve_departures(current);
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
         entry.second->tick();
     }
@@ -1807,7 +1829,7 @@
 
 std::vector<std::string> database_group::keys_to_record() const {
     std::vector<std::string> keys = member_keys();
-    for (const std::string& id : departed_ids()) {
+    for (const std::string& id : receiving_departed()) {
         keys.push_back(id + "@" + std::to_string(departed_.at(id).instance->listed().started_at_ms));
     }
     std::sort(keys.begin(), keys.end());
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -140,7 +140,10 @@
     void remove_instance(const std::string& id);
     /// Records that changes of the list may have been missed before `moment`, so that an instance may have
     /// joined and departed unseen.
-    void on_list_gap(time_point moment) { departures_known_since_ = moment; }
+    void on_list_gap(time_point moment) {
+        departures_known_since_ = moment;
+        departures_resolved_ = false;
+    }
     /// Applies the group's limits. Each instance's connections are divided among `proxies` proxies; 0 keeps
     /// the current share.
     void set_limits(const group_limits& limits, std::size_t proxies);
@@ -218,9 +221,15 @@
     [[nodiscard]] time_point now() const { return clock_(); }
     /// True when no acknowledged commit can exist only on a replica that has left.
     [[nodiscard]] bool is_settled() const { return settlement_.is_settled(); }
+    /// True if the listed members hold every acknowledged commit, as far as this daemon knows who has
+    /// departed.
+    [[nodiscard]] bool is_settled_by_members() const {
+        return settlement_.is_settled() && !settlement_.is_settled_without_primary() &&
+               receiving_departed().empty();
+    }
     /// True if the group is also settled for daemons that learn of its members later.
     [[nodiscard]] bool is_settled_for_others() const {
-        return settlement_.is_settled() && !settlement_.is_settled_without_primary();
+        return is_settled_by_members() && departures_resolved_;
     }
     /// True if the primary is trusted now on evidence that was requested at or after `moment`.
     [[nodiscard]] bool is_trusted_since(time_point moment) const;
@@ -235,16 +244,13 @@
     [[nodiscard]] std::vector<std::string> member_keys() const;
     /// The same with the departed instances that may still receive.
     [[nodiscard]] std::vector<std::string> keys_to_record() const;
-    /// Departed instances that may still receive from the primary.
+    /// Departed instances that may live.
     [[nodiscard]] std::vector<std::string> departed_ids() const;
-    [[nodiscard]] bool is_departed(const std::string& id) const;
-    /// Time by which no daemon believes a departed instance any longer; nothing if there is none.
-    [[nodiscard]] std::optional<time_point> departures_end() const;
+    [[nodiscard]] bool is_departed(const std::string& id) const { return departed_.count(id) > 0; }
+    /// Those of them that may receive from the primary of the newest known term.
+    [[nodiscard]] std::vector<std::string> receiving_departed() const;
     /// True if no instance can have departed unseen that another daemon still believes.
-    [[nodiscard]] bool knows_departures() const { return now() >= departures_known_at(); }
-    [[nodiscard]] time_point departures_known_at() const {
-        return departures_known_since_ + departure_limit();
-    }
+    [[nodiscard]] bool knows_departures() const { return departures_resolved_; }
     /// True if each of the recorded members is listed or known to have departed.
     [[nodiscard]] bool knows_all(const std::vector<std::string>& recorded) const;
     /// Current primary or, when none is known, the only instance whose entry claims that role; empty
@@ -353,7 +359,9 @@
     /// Keeps a removed instance for the promotions.
     void add_departed(const listed_instance& listed);
     void forget_departed(const std::string& id);
-    void expire_departed(time_point current);
+    /// Finds out which departed instances have ended. Those, and the ones that no daemon believes any longer,
+    /// may have taken the only copy of a commit with them until now, so the group is settled anew.
+    void resolve_departures(time_point current);
     /// Time of the latest answer of any listed replica.
     [[nodiscard]] std::optional<time_point> last_replica_answer() const;
     /// True if a listed replica is believed to answer; it can confirm commits now, or once it is a witness.
@@ -393,6 +401,7 @@
     void use_replica_logs();
     /// Reads the recorded members to learn whether one has departed before this daemon listed the others.
     void check_departures();
+    void on_departures_checked(const std::optional<std::vector<std::string>>& recorded);
     void poll_replicas();
     void poll_for_settlement(time_point current);
     void check_recovery(time_point current);
@@ -428,12 +437,16 @@
     struct departed_instance {
         std::unique_ptr<proxy_instance> instance;
         time_point removed_at;
+        /// It has accepted a connection since.
+        bool has_answered = false;
         /// Nothing listens at its address any more.
         bool has_ended = false;
     };
     std::map<std::string, departed_instance> departed_;
     /// Time since which no change of the list was missed.
     time_point departures_known_since_;
+    /// No instance that departed before that time is believed by any daemon.
+    bool departures_resolved_ = false;
     bool checking_departures_ = false;
     time_point departures_checked_at_;
     std::string primary_id_;
--- a/gentianhill/proxy/failover_driver.cpp
+++ b/gentianhill/proxy/failover_driver.cpp
@@ -68,7 +68,7 @@
             return;
         }
         if (recorded && all_present(*recorded)) {
-            trusted_members_ = group_.member_keys();
+            trusted_members_ = group_.keys_to_record();
             trusted_era_ = era;
             start(verdict);
             return;
@@ -81,7 +81,7 @@
 
 bool failover_driver::all_present(const std::vector<std::string>& recorded) const {
     const std::string old_primary = group_.member_key(group_.primary_to_replace());
-    const std::vector<std::string> present = group_.member_keys();
+    const std::vector<std::string> present = group_.keys_to_record();
     return std::all_of(recorded.begin(), recorded.end(), [&](const std::string& key) {
         return key == old_primary || std::find(present.begin(), present.end(), key) != present.end();
     });
@@ -162,7 +162,7 @@
     };
     hooks.is_settled = [this] {
         return group_.is_settled() ||
-               (lease_.era() == trusted_era_ && group_.member_keys() == trusted_members_);
+               (lease_.era() == trusted_era_ && group_.keys_to_record() == trusted_members_);
     };
     hooks.settled_position = [this] { return group_.settled_position(); };
     hooks.promote = [this](const std::string& id, std::uint64_t token,
@@ -197,7 +197,11 @@
         return;
     }
     proxy_instance* instance = group_.find_member(call->id);
-    pooled_connection* connection = instance != nullptr ? connection_for(*instance, call->kind) : nullptr;
+    if (instance == nullptr) {
+        call->answer(std::nullopt);
+        return;
+    }
+    pooled_connection* connection = connection_for(*instance, call->kind);
     if (connection == nullptr) {
         // The connection is still being opened, or cannot be opened yet.
         port_.call_after(connection_poll_interval, [this, call, alive = std::weak_ptr<bool>(alive_)] {
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -471,31 +471,15 @@
         }
         if (pending.replace_at && now >= *pending.replace_at) {
             pending.replace_at.reset();
-            replace_record(entry.first, pending);
+            // A member that has left meanwhile may hold the only copy of a commit again. A first record has
+            // nobody to lose.
+            if (members.is_settled_for_others() || (members.is_settled_by_members() && !record.exists())) {
+                record.replace(members.member_keys());
+            }
         }
     }
 }
 
-void proxy::replace_record(const std::string& group_name, pending_record& pending) {
-    const database_group& members = *groups_.at(group_name);
-    member_record& record = *member_records_.at(group_name);
-    // A member that has left meanwhile may hold the only copy of a commit again.
-    if (!members.is_settled_for_others()) {
-        return;
-    }
-    const duration own_delay = record_time(group_name) - ports_.now();
-    if (!members.knows_departures() && record.exists()) {
-        // The record may name an instance that departed before this daemon listed the others.
-        record.add(members.keys_to_record());
-        pending.replace_at = members.departures_known_at() + own_delay;
-        return;
-    }
-    record.replace(members.keys_to_record());
-    if (members.departures_end()) {
-        pending.replace_at = *members.departures_end() + own_delay;
-    }
-}
-
 void proxy::record_terms(time_point now) {
     if (!duty_watch_.replica().has_state() || stop_.is_requested() || lease_.era() == 0) {
         return;
--- a/gentianhill/proxy/proxy.h
+++ b/gentianhill/proxy/proxy.h
@@ -182,7 +182,6 @@
     /// the records of all groups.
     void observe_era();
     void record_members(time_point now);
-    void replace_record(const std::string& group_name, pending_record& pending);
     /// Records that the list of instances is complete as of `moment`.
     void confirm_instances(time_point moment);
     /// Logs when the list of instances becomes old or current.
