soak: single daemons and instances are cut from the store, clients rest in transactions

Option "members": single daemons are cut from the store or from an instance, entries of instances that live lapse, and each daemon has a zone, so a list, of its own. Option "owners": few connections, so that daemons hand statements on; clients rest in transactions while daemons are killed and started again in series; a statement in another client's transaction is a finding.

--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -445,9 +445,6 @@
     std::map<std::string, departed_instance> departed_;
     /// Time since which no change of the list was missed.
     time_point departures_known_since_;
-    /// No instance that departed before that time is believed by any daemon.
-    bool departures_resolved_ = false;
-    bool checking_departures_ = false;
     time_point departures_checked_at_;
     std::string primary_id_;
     term_number term_ = 0;
@@ -467,6 +464,9 @@
     /// it expires, since obtaining it again is slow.
     bool trust_from_record_ = false;
     bool reading_record_ = false;
+    /// No instance that departed before `departures_known_since_` is believed by any daemon.
+    bool departures_resolved_ = false;
+    bool checking_departures_ = false;
     /// The promotion record is being read to learn whether the former primary was the last one.
     bool checking_former_primary_ = false;
     time_point last_record_read_;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -392,10 +392,9 @@
     added->read_promoted_term = [this, name](std::function<void(std::optional<term_number>)> done) {
         lease_.read_promoted_term(name, std::move(done));
     };
-    added->read_recorded_members =
-        [this, name](std::function<void(const std::optional<std::vector<std::string>>&)> done) {
-            member_records_.at(name)->read(std::move(done));
-        };
+    added->read_recorded_members = [this, name](const member_record::members_handler& done) {
+        member_records_.at(name)->read(done);
+    };
     added->list_members = [this] { list_members(); };
     added->members_current_as_of = [this] { return instances_confirmed_at_; };
     added->call_after = ports_.call_after;
--- a/standins/line_platform/http_platform.cpp
+++ b/standins/line_platform/http_platform.cpp
@@ -1,11 +1,13 @@
 #include "standins/line_platform/http_platform.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <iterator>
 #include <sys/socket.h>
 
 namespace gentianhill::standins {
@@ -25,6 +27,19 @@
     return body;
 }
 
+std::uint16_t port_of(evutil_socket_t socket) {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+/// Port of the server that a request has arrived on.
+std::uint16_t port_of(evhttp_request* request) {
+    return port_of(
+        bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request))));
+}
+
 std::string header_of(evhttp_request* request, const char* name) {
     const char* value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
     return value == nullptr ? "" : value;
@@ -53,10 +68,32 @@
     if (bound == nullptr) {
         return 0;
     }
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&address), &size);
-    return ntohs(address.sin_port);
+    return port_of(evhttp_bound_socket_get_fd(bound));
+}
+
+void http_platform::set_refusing(std::uint16_t port, bool refuses) {
+    if (!refuses) {
+        refusing_ports_.erase(port);
+        return;
+    }
+    refusing_ports_.insert(port);
+    fail_watches_if([port](const waiting_watch& open) { return port_of(open.request) == port; });
+}
+
+void http_platform::erase(const std::string& kind, const std::string& name) {
+    const auto found = state_.objects.find({kind, name});
+    if (found != state_.objects.end()) {
+        erase(found);
+        wake();
+    }
+}
+
+void http_platform::erase(
+    std::map<std::pair<std::string, std::string>, nlohmann::json>::const_iterator object) {
+    nlohmann::json removed = object->second;
+    removed["meta"]["Revision"] = ++state_.revision;
+    state_.history.emplace_back(object->first.first, nlohmann::json{{"Object", removed}, {"Deleted", true}});
+    state_.objects.erase(object);
 }
 
 void http_platform::write(const std::string& kind, const std::string& name, const nlohmann::json& spec) {
@@ -78,8 +115,13 @@
 }
 
 void http_platform::fail_watches() {
+    fail_watches_if([](const waiting_watch&) { return true; });
+}
+
+void http_platform::fail_watches_if(const std::function<bool(const waiting_watch&)>& fails) {
     std::vector<waiting_watch> dropped;
-    dropped.swap(watches_);
+    std::copy_if(watches_.begin(), watches_.end(), std::back_inserter(dropped), fails);
+    std::erase_if(watches_, fails);
     for (const waiting_watch& each : dropped) {
         reply(each.request, status_down, nlohmann::json::object());
     }
@@ -88,7 +130,11 @@
 void http_platform::reply(evhttp_request* request, int status, const nlohmann::json& body) const {
     evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era", std::to_string(era_).c_str());
     evbuffer* buffer = evbuffer_new();
-    const std::string text = body.dump();
+    nlohmann::json adapted = body;
+    if (adapt) {
+        adapt(port_of(request), adapted);
+    }
+    const std::string text = adapted.dump();
     evbuffer_add(buffer, text.data(), text.size());
     evhttp_send_reply(request, status, nullptr, buffer);
     evbuffer_free(buffer);
@@ -97,7 +143,7 @@
 void http_platform::handle(evhttp_request* request) {
     const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
     const std::string path = evhttp_uri_get_path(uri);
-    if (is_down) {
+    if (is_down || refusing_ports_.count(port_of(request)) > 0) {
         reply(request, status_down, nlohmann::json::object());
         return;
     }
@@ -188,10 +234,7 @@
         reply(request, status_conflict, present->second);
         return;
     }
-    nlohmann::json removed = present->second;
-    removed["meta"]["Revision"] = ++state_.revision;
-    state_.objects.erase(present);
-    state_.history.emplace_back(kind, nlohmann::json{{"Object", removed}, {"Deleted", true}});
+    erase(present);
     reply(request, status_ok, nlohmann::json::object());
     wake();
 }
--- a/standins/line_platform/http_platform.h
+++ b/standins/line_platform/http_platform.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,11 +26,18 @@
     http_platform(const http_platform&) = delete;
     http_platform& operator=(const http_platform&) = delete;
 
-    /// Listens on a free port of the loopback address; returns it, 0 when that fails.
+    /// Listens on a further free port of the loopback address; returns it, 0 when that fails.
     [[nodiscard]] std::uint16_t listen();
     /// Writes an object as its owner does.
     void write(const std::string& kind, const std::string& name, const nlohmann::json& spec);
 
+    /// Removes an object as the platform does, such as the entry of an instance that is silent.
+    void erase(const std::string& kind, const std::string& name);
+    /// Answers the calls that arrive on a port with 503, or serves them again.
+    void set_refusing(std::uint16_t port, bool refuses);
+
+    /// Changes the body of an answer to a call that has arrived on a port; may be empty.
+    std::function<void(std::uint16_t port, nlohmann::json& body)> adapt;
     /// Takes a promotion with its fencing token; returns the status of the answer.
     std::function<int(const std::string& id, std::uint64_t token)> on_promote;
     /// Keeps a copy of the store as it is now.
@@ -69,6 +77,9 @@
                                      bool even_none);
     void wake();
     void fail_watches();
+    void fail_watches_if(const std::function<bool(const waiting_watch&)>& fails);
+    /// Removes an object, which becomes an event.
+    void erase(std::map<std::pair<std::string, std::string>, nlohmann::json>::const_iterator object);
 
     event_loop& loop_;
     evhttp* server_;
@@ -77,6 +88,7 @@
     std::uint64_t era_ = 1;
     std::vector<waiting_watch> watches_;
     std::uint64_t last_watch_ = 0;
+    std::set<std::uint16_t> refusing_ports_;
 };
 
 } // namespace gentianhill::standins
--- a/standins/line_platform/line_instances.cpp
+++ b/standins/line_platform/line_instances.cpp
@@ -77,6 +77,7 @@
 
 struct line_instances::connection {
     std::string id;
+    std::string caller;
     std::unique_ptr<platform::line_socket> socket;
     std::shared_ptr<model_connection> opened;
 };
@@ -84,6 +85,7 @@
 struct line_instances::listener {
     line_instances* owner = nullptr;
     std::string id;
+    std::string caller;
     int descriptor = -1;
     event* acceptable = nullptr;
 
@@ -102,10 +104,11 @@
 
 line_instances::~line_instances() = default;
 
-std::uint16_t line_instances::listen(const std::string& id) {
+std::uint16_t line_instances::listen(const std::string& id, const std::string& caller) {
     std::unique_ptr<listener> added = std::make_unique<listener>();
     added->owner = this;
     added->id = id;
+    added->caller = caller;
     added->descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -140,6 +143,7 @@
     const std::uint64_t number = ++last_number_;
     std::unique_ptr<connection> added = std::make_unique<connection>();
     added->id = from.id;
+    added->caller = from.caller;
     added->socket = std::make_unique<platform::line_socket>(flusher_, descriptor);
     connection* accepted = added.get();
     added->socket->on_line = [this, accepted](std::string_view line) { on_line(*accepted, line); };
@@ -154,6 +158,9 @@
 }
 
 void line_instances::on_line(connection& from, std::string_view line) {
+    if (is_cut(from)) {
+        return;
+    }
     const platform::message received = platform::split_message(line);
     if (received.kind == platform::message_kind::query && from.opened != nullptr) {
         run(from, received.rest);
@@ -178,7 +185,7 @@
     model_.handle(from.opened, command, [this, opened, client = &from](const instance_answer& answer) {
         // The connection is gone when the model has closed it.
         const std::shared_ptr<model_connection> held = opened.lock();
-        if (held == nullptr || held->incarnation == 0 || silent_[held->instance]) {
+        if (held == nullptr || held->incarnation == 0 || silent_[held->instance] || is_cut(*client)) {
             return;
         }
         if (!answer.result.signature.empty() && lost_answers > 0) {
@@ -198,9 +205,27 @@
     }
 }
 
+bool line_instances::is_cut(const connection& from) const {
+    return cuts_.count({from.id, from.caller}) > 0;
+}
+
+void line_instances::set_cut(const std::string& id, const std::string& caller, bool is_cut) {
+    if (is_cut) {
+        cuts_.insert({id, caller});
+        return;
+    }
+    cuts_.erase({id, caller});
+    // What was dropped is lost, so the exchange starts again.
+    reset_if(id, [&caller](const connection& open) { return open.caller == caller; });
+}
+
 void line_instances::reset(const std::string& id) {
+    reset_if(id, [](const connection&) { return true; });
+}
+
+void line_instances::reset_if(const std::string& id, const std::function<bool(const connection&)>& ends) {
     for (const std::map<std::uint64_t, std::unique_ptr<connection>>::value_type& entry : connections_) {
-        if (entry.second->id == id) {
+        if (entry.second->id == id && ends(*entry.second)) {
             if (entry.second->opened != nullptr) {
                 model_.close(entry.second->opened);
             }
--- a/standins/replicated_service/service_model.cpp
+++ b/standins/replicated_service/service_model.cpp
@@ -362,6 +362,7 @@
         connection.state = transaction_state::open;
         connection.reads_only = command.kind == command_kind::begin_read;
         connection.wrote = false;
+        connection.transaction = ++last_transaction_;
         break;
     case command_kind::rollback:
         connection.state = transaction_state::idle;
--- a/standins/replicated_service/service_model.h
+++ b/standins/replicated_service/service_model.h
@@ -57,6 +57,8 @@
     transaction_state state = transaction_state::idle;
     bool reads_only = false;
     bool wrote = false;
+    /// Number of the last transaction that was begun on it, unique over all connections; 0 before the first.
+    std::uint64_t transaction = 0;
 };
 
 /// Command with its own storage.
@@ -191,6 +193,7 @@
     std::set<std::string> committed_;
     std::vector<model_acknowledgement> in_order_;
     std::vector<std::string> violations_;
+    std::uint64_t last_transaction_ = 0;
     term_number newest_term_ = 1;
     std::size_t promotions_ = 0;
 };
--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -2,12 +2,17 @@
 add_library(gentianhill_soak_processes STATIC soak/child_process.cpp)
 target_include_directories(gentianhill_soak_processes PUBLIC ${CMAKE_SOURCE_DIR})
 target_link_libraries(gentianhill_soak_processes PUBLIC gentianhill_core)
-add_executable(gentianhill_soak soak/soak.cpp)
+add_executable(gentianhill_soak soak/soak.cpp soak/transaction_client.cpp)
 target_link_libraries(gentianhill_soak PRIVATE gentianhill_soak_processes gentianhill_standin_line_platform)
 foreach(seed 1 2 3)
   add_test(NAME soak.seed_${seed} COMMAND gentianhill_soak $<TARGET_FILE:gentianhill-edge> ${seed} 20)
   set_tests_properties(soak.seed_${seed} PROPERTIES TIMEOUT 90)
 endforeach()
+# Daemons and instances cut from the store by themselves; clients that rest in transactions which are handed on.
+foreach(option members owners)
+  add_test(NAME soak.${option} COMMAND gentianhill_soak $<TARGET_FILE:gentianhill-edge> 1 20 ${option})
+  set_tests_properties(soak.${option} PROPERTIES TIMEOUT 90)
+endforeach()
 
 add_executable(gentianhill_daemon_soak
   soak/caller_connection.cpp soak/caller_session.cpp soak/daemon_fleet.cpp soak/daemon_soak.cpp
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,6 +4,7 @@
 #include "standins/line_platform/line_instances.h"
 #include "standins/replicated_service/service_model.h"
 #include "tests/soak/child_process.h"
+#include "tests/soak/transaction_client.h"
 
 #include <fmt/format.h>
 
@@ -15,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <sys/wait.h>
 #include <vector>
@@ -26,7 +28,11 @@
 /// Plays seconds of failures against real processes of the daemon: kills, freezes, planned stops, crashes,
 /// silence and cuts of instances, an unreachable store, a store restored from a copy and lost answers. The
 /// store is restored once more when the faults have ended. Every answer to a client is checked. Usage:
-/// gentianhill_soak PROGRAM SEED [SECONDS]; exits with 1 when a promise was broken.
+/// gentianhill_soak PROGRAM SEED [SECONDS] [OPTION...]; exits with 1 when a promise was broken. Options:
+/// members: single daemons are also cut from the store or from an instance, and entries of instances that
+/// live lapse; each daemon is in a zone of its own, so that their lists differ.
+/// owners: instances take few connections, so that daemons hand statements on; clients rest in transactions
+/// while daemons are restarted one after the other.
 namespace {
 
 constexpr std::size_t daemon_count = 3;
@@ -57,8 +63,28 @@
 /// Routes by which the configuration grows, and the time between the changes of single ones that follow.
 constexpr std::size_t grown_routes = 1500;
 constexpr duration route_change_interval = 700ms;
+/// Interval of the faults of the option "members", and how long each lasts.
+constexpr duration member_fault_interval = 800ms;
+constexpr std::int64_t min_cut_ms = 1000;
+constexpr std::int64_t max_cut_ms = 7000;
+/// Time in which an instance that reaches the store again has written its entry.
+constexpr duration entry_delay = 500ms;
+constexpr std::size_t usual_connections = 40;
+/// So few that daemons hand statements on.
+constexpr std::size_t few_connections = 8;
+constexpr std::size_t transaction_clients_per_daemon = 5;
+/// Each daemon is restarted several times in a row, so that its processes give the same handles out again.
+constexpr std::size_t restarts_in_series = 3;
+constexpr duration restart_interval = 1900ms;
+/// Rest of the other clients beside transactions.
+constexpr duration rest_beside_transactions = 400ms;
 const std::string group = "orders";
 
+struct soak_options {
+    bool has_member_faults = false;
+    bool has_owners = false;
+};
+
 /// What was done to one run of a daemon.
 struct daemon_run {
     time_point started_at;
@@ -73,6 +99,8 @@
     std::uint16_t client_port = 0;
     std::uint16_t admin_port = 0;
     std::uint16_t peer_port = 0;
+    /// Port on which the store serves this daemon.
+    std::uint16_t store_port = 0;
     /// 0 while no process runs.
     pid_t pid = 0;
     bool frozen = false;
@@ -96,24 +124,26 @@
 
 class edge_soak {
 public:
-    edge_soak(std::string program, std::uint64_t seed, duration length)
+    edge_soak(std::string program, std::uint64_t seed, duration length, soak_options options)
         : program_(std::move(program)),
+          options_(options),
           random_(seed),
           restore_random_(seed),
           signal_random_(seed),
           growth_random_(seed),
+          member_random_(seed),
           length_(length),
           flusher_(loop_),
-          model_({}),
+          model_(model_settings(options)),
           instances_(flusher_, model_, group),
           http_(loop_) {}
 
     int run() {
-        start_platform();
         for (std::size_t i = 0; i < daemon_count; ++i) {
             daemons_.push_back({"daemon-" + std::to_string(i), reserve_port(), reserve_port(), reserve_port(),
-                                0, false, nullptr});
+                                http_.listen(), 0, false, nullptr});
         }
+        start_platform();
         start_ = boot_now();
         for (std::size_t i = 0; i < daemon_count; ++i) {
             launch(daemons_[i]);
@@ -123,9 +153,12 @@
                 clients_.back()->daemon = i;
                 clients_.back()->database = databases[c % databases.size()];
             }
+            add_transaction_clients(daemons_[i]);
         }
         step();
         strike_later();
+        strike_members_later();
+        restart_owners_later();
         restore_later();
         signal_later();
         grow_configuration_later();
@@ -149,14 +182,54 @@
         return ports_of_daemons_.back().number();
     }
 
+    static service_model_settings model_settings(const soak_options& options) {
+        service_model_settings settings;
+        settings.max_connections = options.has_owners ? few_connections : usual_connections;
+        return settings;
+    }
+
+    void add_transaction_clients(const daemon_process& target) {
+        for (std::size_t i = 0; options_.has_owners && i < transaction_clients_per_daemon; ++i) {
+            const std::string name = fmt::format("t{}", transactions_.size());
+            transactions_.push_back(std::make_unique<soak::transaction_client>(
+                loop_, flusher_, name, target.client_port, member_random_()));
+            transactions_.back()->is_acknowledged = [this](const std::string& id) {
+                return model_.acknowledged().count(id) > 0;
+            };
+            transactions_.back()->on_confirmed = [this](const std::string& id) { model_.confirm(id); };
+        }
+    }
+
+    // Guards against a statement that runs in the transaction of another client, or outside of its own.
+    void check_transaction(const std::string& id, const model_connection& connection) {
+        if (id.find('-') == std::string::npos) {
+            if (connection.state == transaction_state::open) {
+                findings_.push_back(fmt::format("{} runs inside a transaction", id));
+            }
+            return;
+        }
+        const auto [found, added] =
+            transaction_clients_.try_emplace(connection.transaction, soak::transaction_client::client_of(id));
+        const bool ends = connection.state != transaction_state::open;
+        if (connection.transaction == 0 || found->second != soak::transaction_client::client_of(id)) {
+            findings_.push_back(fmt::format("{} runs in a transaction of {}", id, found->second));
+        }
+        if (ends) {
+            findings_.push_back(fmt::format("{} runs outside of a transaction", id));
+        }
+    }
+
     void start_platform() {
         model_.call_after = [this](duration delay, std::function<void()> action) {
             loop_.run_after(delay, std::move(action));
         };
         model_.now = &boot_now;
+        model_.on_run = [this](const model_command& command, const model_connection& connection) {
+            check_transaction(command.id, connection);
+        };
         model_.on_read = [this](const model_command& command, const model_connection&,
                                 const std::vector<model_entry>& log) { check_read(command.id, log); };
-        store_port_ = http_.listen();
+        http_.adapt = [this](std::uint16_t port, nlohmann::json& body) { adapt(port, body); };
         http_.on_promote = [this](const std::string& id, std::uint64_t token) {
             if (token < newest_token_) {
                 findings_.push_back(fmt::format("token {} after {}", token, newest_token_));
@@ -166,13 +239,31 @@
         };
         for (const char* id : {"i-1", "i-2", "i-3"}) {
             model_.add(id);
-            ports_[id] = instances_.listen(id);
+            for (const daemon_process& each : daemons_) {
+                ports_[{each.store_port, id}] = instances_.listen(id, each.name);
+            }
             list(id);
         }
         model_.start();
         write_configuration();
     }
 
+    /// Gives a daemon that the store serves on `port` its own addresses of the instances.
+    void adapt(std::uint16_t port, nlohmann::json& value) {
+        if (value.is_object() && value.contains("spec") && value["spec"].contains("Address")) {
+            const std::string id = value.at("meta").at("Name");
+            value["spec"]["Address"] = fmt::format("127.0.0.1:{}", ports_.at({port, id}));
+            return;
+        }
+        for (const char* list : {"items", "events"}) {
+            if (value.contains(list)) {
+                for (nlohmann::json& item : value[list]) {
+                    adapt(port, item.contains("Object") ? item["Object"] : item);
+                }
+            }
+        }
+    }
+
     /// Writes the present version of the configuration. Each version has a route of its own besides the
     /// routes of the clients.
     void write_configuration() {
@@ -204,37 +295,49 @@
                     {{"Version", config_version_},
                      {"Routes", routes},
                      {"Limits", {{"TxIdleMs", 3000}}},
-                     {"Backends", {{{"Name", group}, {"MaxConns", 40}, {"SyncReplicas", 1}}}}});
+                     {"Backends",
+                      {{{"Name", group},
+                        {"MaxConns", options_.has_owners ? few_connections : usual_connections},
+                        {"SyncReplicas", 1}}}}});
     }
 
     [[nodiscard]] std::string version_route() const { return fmt::format("version_{}", config_version_); }
 
     void list(const std::string& id) {
+        if (cut_instances_.count(id) > 0) {
+            return;
+        }
         listed_primary_[id] = model_.is_primary(id);
         http_.write("servers", id,
                     {{"Backend", group},
-                     {"Address", fmt::format("127.0.0.1:{}", ports_[id])},
+                     {"Address", ""},
                      {"Zone", "a"},
                      {"Capacity", 4},
                      {"State", "ready"},
                      {"DbRole", listed_primary_[id] ? "primary" : "replica"}});
     }
 
+    [[nodiscard]] std::string zone_of(const daemon_process& daemon) const {
+        // Daemons of one zone pass their lists on to each other.
+        return options_.has_owners ? "a" : options_.has_member_faults ? "zone-" + daemon.name : "a";
+    }
+
     void launch(daemon_process& started) {
         std::string seeds;
         for (const daemon_process& each : daemons_) {
             seeds += fmt::format("{}127.0.0.1:{}", seeds.empty() ? "" : ",", each.peer_port);
         }
-        const std::vector<std::string> flags{program_,
-                                             "--name=" + started.name,
-                                             "--zone=a",
-                                             fmt::format("--client-listen=127.0.0.1:{}", started.client_port),
-                                             fmt::format("--admin-listen=127.0.0.1:{}", started.admin_port),
-                                             fmt::format("--peer-listen=127.0.0.1:{}", started.peer_port),
-                                             "--seeds=" + seeds,
-                                             fmt::format("--store=127.0.0.1:{}", store_port_),
-                                             fmt::format("--promotion-service=127.0.0.1:{}", store_port_),
-                                             "--grace-s=3"};
+        const std::vector<std::string> flags{
+            program_,
+            "--name=" + started.name,
+            "--zone=" + zone_of(started),
+            fmt::format("--client-listen=127.0.0.1:{}", started.client_port),
+            fmt::format("--admin-listen=127.0.0.1:{}", started.admin_port),
+            fmt::format("--peer-listen=127.0.0.1:{}", started.peer_port),
+            "--seeds=" + seeds,
+            fmt::format("--store=127.0.0.1:{}", started.store_port),
+            fmt::format("--promotion-service=127.0.0.1:{}", started.store_port),
+            "--grace-s=3"};
         started.pid = soak::start_process(flags, soak::log_path(""), soak::captured_output::standard);
         started.frozen = false;
         started.run = std::make_shared<daemon_run>();
@@ -296,6 +399,74 @@
         });
     }
 
+    /// Cuts single daemons and instances from the store. These faults have their own random numbers, so that
+    /// the other faults of a seed do not depend on them.
+    void strike_members_later() {
+        if (!options_.has_member_faults) {
+            return;
+        }
+        loop_.run_after(member_fault_interval, [this] {
+            if (boot_now() - start_ >= length_ - recovery) {
+                return;
+            }
+            std::uniform_int_distribution<std::int64_t> pick_length(min_cut_ms, max_cut_ms);
+            const duration length = std::chrono::milliseconds(pick_length(member_random_));
+            const std::size_t target = member_random_() % daemon_count;
+            const std::string leader = model_.leader();
+            switch (member_random_() % 3) {
+            case 0:
+                refuse_daemon(daemons_[target], length);
+                break;
+            case 1:
+                cut_from_store(model_.ids()[target], length);
+                break;
+            default:
+                cut_from_instance(daemons_[target], leader.empty() ? model_.ids()[target] : leader, length);
+            }
+            strike_members_later();
+        });
+    }
+
+    void refuse_daemon(const daemon_process& target, duration length) {
+        note("store refuses", target.name);
+        http_.set_refusing(target.store_port, true);
+        loop_.run_after(length, [this, port = target.store_port] { http_.set_refusing(port, false); });
+    }
+
+    void cut_from_instance(const daemon_process& target, const std::string& id, duration length) {
+        note("cut", target.name + " " + id);
+        instances_.set_cut(id, target.name, true);
+        loop_.run_after(length, [this, id, name = target.name] { instances_.set_cut(id, name, false); });
+    }
+
+    void restart_owners_later() {
+        if (!options_.has_owners) {
+            return;
+        }
+        loop_.run_after(restart_interval, [this] {
+            if (boot_now() - start_ >= length_ - recovery) {
+                return;
+            }
+            daemon_process& target = daemons_[restarted_++ / restarts_in_series % daemons_.size()];
+            stop(target, SIGKILL);
+            launch(target);
+            restart_owners_later();
+        });
+    }
+
+    /// The entry of the instance lapses; the instance goes on.
+    void cut_from_store(const std::string& id, duration length) {
+        if (!cut_instances_.insert(id).second) {
+            return;
+        }
+        note("entry lapses", id);
+        http_.erase("servers", id);
+        loop_.run_after(length + entry_delay, [this, id] {
+            cut_instances_.erase(id);
+            list(id);
+        });
+    }
+
     /// Sends SIGHUP, and a second SIGTERM to a daemon that is stopping. The signals have their own random
     /// numbers, so that the other faults of a seed do not depend on them.
     void signal_later() {
@@ -485,7 +656,8 @@
 
     void step() {
         for (const std::string& id : model_.ids()) {
-            if (!http_.is_down && model_.is_up(id) && listed_primary_[id] != model_.is_primary(id)) {
+            if (!http_.is_down && model_.is_up(id) && cut_instances_.count(id) == 0 &&
+                listed_primary_[id] != model_.is_primary(id)) {
                 list(id);
             }
         }
@@ -495,6 +667,9 @@
         for (const std::unique_ptr<soak_client>& each : clients_) {
             speak(*each);
         }
+        for (const std::unique_ptr<soak::transaction_client>& each : transactions_) {
+            each->step();
+        }
         loop_.run_after(10ms, [this] { step(); });
     }
 
@@ -503,7 +678,8 @@
             open(client);
             return;
         }
-        if (!client.ready || !client.waiting.empty()) {
+        const bool rests = options_.has_owners && boot_now() - client.sent_at < rest_beside_transactions;
+        if (!client.ready || !client.waiting.empty() || rests) {
             return;
         }
         client.waiting = fmt::format("s{}", ++last_id_);
@@ -612,6 +788,14 @@
     int report() {
         std::vector<std::string> all = findings_;
         all.insert(all.end(), model_.violations().begin(), model_.violations().end());
+        std::size_t transaction_commits = 0;
+        for (const std::unique_ptr<soak::transaction_client>& each : transactions_) {
+            all.insert(all.end(), each->findings().begin(), each->findings().end());
+            transaction_commits += each->commits();
+        }
+        if (options_.has_owners && transaction_commits == 0) {
+            all.push_back("no transaction was committed");
+        }
         if (served_at_the_end_ == 0) {
             all.push_back("nothing was served in the last second");
         }
@@ -639,19 +823,27 @@
     };
 
     std::string program_;
+    soak_options options_;
     std::mt19937_64 random_;
     std::mt19937_64 restore_random_;
     std::mt19937_64 signal_random_;
     std::mt19937_64 growth_random_;
+    std::mt19937_64 member_random_;
     duration length_;
     event_loop loop_;
     platform::output_flusher flusher_;
     service_model model_;
     line_instances instances_;
     http_platform http_;
-    std::uint16_t store_port_ = 0;
-    std::map<std::string, std::uint16_t> ports_;
+    /// Ports of the instances, by the daemon's port of the store and the instance.
+    std::map<std::pair<std::uint16_t, std::string>, std::uint16_t> ports_;
+    std::size_t restarted_ = 0;
     std::map<std::string, bool> listed_primary_;
+    /// Instances that are cut from the store.
+    std::set<std::string> cut_instances_;
+    std::vector<std::unique_ptr<soak::transaction_client>> transactions_;
+    /// Client of each transaction at an instance, by its number.
+    std::map<std::uint64_t, std::string> transaction_clients_;
     std::vector<soak::reserved_port> ports_of_daemons_;
     std::vector<daemon_process> daemons_;
     std::vector<std::unique_ptr<soak_client>> clients_;
@@ -675,11 +867,17 @@
 
 int main(int count, char** arguments) {
     if (count < 3) {
-        fmt::print(stderr, "usage: gentianhill_soak PROGRAM SEED [SECONDS]\n");
+        fmt::print(stderr, "usage: gentianhill_soak PROGRAM SEED [SECONDS] [members] [owners]\n");
         return 2;
     }
+    soak_options options;
+    for (const std::string_view option :
+         std::vector<std::string_view>(arguments + std::min(count, 4), arguments + count)) {
+        options.has_member_faults = options.has_member_faults || option == "members";
+        options.has_owners = options.has_owners || option == "owners";
+    }
     std::signal(SIGPIPE, SIG_IGN);
     const std::uint64_t seed = std::strtoull(arguments[2], nullptr, 10);
     const duration length = std::chrono::seconds(count > 3 ? std::atoi(arguments[3]) : 20);
-    return edge_soak(arguments[1], seed, length).run();
+    return edge_soak(arguments[1], seed, length, options).run();
 }
