proxy: a lapsed replica that returns without its log unsettles the group

A replica that was removed from the list counts as a member, so the group stayed settled when it was listed again after a start without its log, and a replica without the commits that it had held could be promoted: LOST.

Cause: the start times of a listed and a known instance were compared only while the instance was listed.

Change: an instance that is listed again after its departure unsettles the group if its start time has changed. A record of members that can't be read no longer counts as one that names an unknown member, which could unsettle a group during an outage of the store; the former primary counts as known to have departed. Attempts to connect to departed instances are counted.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -161,7 +161,7 @@
 void database_group::update_instance(const listed_instance& listed) {
     const std::map<std::string, std::unique_ptr<proxy_instance>>::iterator found = instances_.find(listed.id);
     if (found == instances_.end()) {
-        forget_departed(listed.id);
+        on_departed_listed(listed);
         std::unique_ptr<proxy_instance> added =
             std::make_unique<proxy_instance>(listed, network_, log_, settings_.pool, clock_);
         added->on_capacity = [this] { place_waiting_tasks(); };
@@ -245,9 +245,22 @@
             departed_.at(instance.listed().id).has_ended = true;
         }
     };
+    departed.instance->on_connection_attempt = [this] { counters_.connections_opened.add(); };
     departed.removed_at = now();
 }
 
+void database_group::on_departed_listed(const listed_instance& listed) {
+    const std::map<std::string, departed_instance>::const_iterator found = departed_.find(listed.id);
+    if (found == departed_.end()) {
+        return;
+    }
+    const bool has_restarted = found->second.instance->listed().started_at_ms != listed.started_at_ms;
+    forget_departed(listed.id);
+    if (has_restarted) {
+        unsettle_by(listed.id);
+    }
+}
+
 void database_group::forget_departed(const std::string& id) {
     const std::map<std::string, departed_instance>::iterator found = departed_.find(id);
     if (found == departed_.end()) {
@@ -1617,7 +1630,7 @@
 }
 
 bool database_group::knows_all(const std::vector<std::string>& recorded) const {
-    const std::vector<std::string> known = keys_to_record();
+    const std::vector<std::string> known = keys_with(departed_ids());
     return std::all_of(recorded.begin(), recorded.end(), [&known](const std::string& key) {
         return std::find(known.begin(), known.end(), key) != known.end();
     });
@@ -1644,13 +1657,14 @@
 }
 
 void database_group::on_departures_checked(const std::optional<std::vector<std::string>>& recorded) {
-    const bool is_complete = recorded && knows_all(*recorded);
+    if (!recorded) {
+        return;
+    }
+    const bool is_complete = knows_all(*recorded);
     const bool is_over = now() - departures_known_since_ >= departure_limit();
-    log_.write(log_level::info, "group", "departures_checked",
-               {{"group", name_},
-                {"recorded", recorded.has_value()},
-                {"complete", is_complete},
-                {"is_over", is_over}});
+    log_.write(
+        log_level::info, "group", "departures_checked",
+        {{"group", name_}, {"recorded", recorded->size()}, {"complete", is_complete}, {"is_over", is_over}});
     if (!is_complete && !is_over) {
         return;
     }
@@ -1827,9 +1841,9 @@
     return keys;
 }
 
-std::vector<std::string> database_group::keys_to_record() const {
+std::vector<std::string> database_group::keys_with(const std::vector<std::string>& departed) const {
     std::vector<std::string> keys = member_keys();
-    for (const std::string& id : receiving_departed()) {
+    for (const std::string& id : departed) {
         keys.push_back(id + "@" + std::to_string(departed_.at(id).instance->listed().started_at_ms));
     }
     std::sort(keys.begin(), keys.end());
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -243,7 +243,7 @@
     /// Keys of all members, sorted by id.
     [[nodiscard]] std::vector<std::string> member_keys() const;
     /// The same with the departed instances that may still receive.
-    [[nodiscard]] std::vector<std::string> keys_to_record() const;
+    [[nodiscard]] std::vector<std::string> keys_to_record() const { return keys_with(receiving_departed()); }
     /// Departed instances that may live.
     [[nodiscard]] std::vector<std::string> departed_ids() const;
     [[nodiscard]] bool is_departed(const std::string& id) const { return departed_.count(id) > 0; }
@@ -359,6 +359,10 @@
     /// Keeps a removed instance for the promotions.
     void add_departed(const listed_instance& listed);
     void forget_departed(const std::string& id);
+    /// Called when a departed instance is listed again; it may have started again without its log.
+    void on_departed_listed(const listed_instance& listed);
+    /// Keys of all members and of some departed instances, sorted.
+    [[nodiscard]] std::vector<std::string> keys_with(const std::vector<std::string>& departed) const;
     /// Finds out which departed instances have ended. Those, and the ones that no daemon believes any longer,
     /// may have taken the only copy of a commit with them until now, so the group is settled anew.
     void resolve_departures(time_point current);
--- a/gentianhill/proxy/failover_driver.cpp
+++ b/gentianhill/proxy/failover_driver.cpp
@@ -118,7 +118,10 @@
     std::string old_primary = group_.primary_to_replace();
     for (const std::string& id : group_.departed_ids()) {
         if (!group_.has_led(id)) {
-            members.push_back({id, false, false, true});
+            promotion_member departed;
+            departed.id = id;
+            departed.departed = true;
+            members.push_back(departed);
         } else if (old_primary.empty()) {
             old_primary = id;
         }
--- a/tests/proxy/promotion_members_tests.cpp
+++ b/tests/proxy/promotion_members_tests.cpp
@@ -198,3 +198,18 @@
     write_for(2s);
     CHECK(confirmed == confirmed_by_both);
 }
+
+// Guards against a group that stays settled by a replica that was removed and has started again without its
+// log.
+TEST_CASE_FIXTURE(promotion_members_fixture,
+                  "promotion_members_lapsed_replica_returns_without_log_loses_no_commit") {
+    // i-3 alone receives from the primary.
+    deployment.service.set_cut("i-1", "i-2", true);
+    write_for(500ms);
+    deployment.unlist("i-3");
+    write_for(3s);
+    deployment.restart_without_log("i-3");
+    deployment.service.set_up("i-1", false);
+    write_for(5s);
+    CHECK(deployment.service.violations().empty());
+}
