failover: a primary that leaves by plan does not wait for silent replicas that have departed

Cause: instances that have left do not refuse connections, as their hosts are gone as well; they are silent. So a planned replacement of the primary waited up to 7.6 s for each replica that had left before, and after a restart of all daemons for the members that the record still named.

Ruled out: a late second promotion (the log shows replica_unreachable with the departed instances in each attempt); the settlement (the group was settled all the while).

Change: an instance that had announced that it leaves, is no longer listed and does not answer has ended. A planned replacement passes over silent departed instances and does not wait for the record of members: the primary is in reach and is told to step down.

Tests: fenced_promotion_primary_leaves_silent_departed_replica_is_passed_over, promotion_members_primary_leaves_after_a_replica_is_replaced_at_once.

--- a/gentianhill/failover/fenced_promotion.cpp
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -413,7 +413,11 @@
 }
 
 bool fenced_promotion::can_pass_over(const promotion_member& replica, log_position longest) const {
-    if (replica.id == claimant_ || (replica.departed && hooks_.has_ended(replica.id))) {
+    if (replica.id == claimant_) {
+        return true;
+    }
+    // A primary that leaves is in reach, and is told to step down before another instance is promoted.
+    if (replica.departed && (hooks_.has_ended(replica.id) || verdict_ == primary_verdict::leaving)) {
         return true;
     }
     // A fenced replica receives nothing, so its log has not grown since. One that leaves does not start again
--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -241,7 +241,9 @@
     departed_instance& departed = departed_[listed.id];
     departed.instance = std::make_unique<proxy_instance>(listed, network_, log_, settings_.pool, clock_);
     departed.instance->on_failure = [this](proxy_instance& instance, disconnect_reason reason) {
-        if (reason == disconnect_reason::refused) {
+        // A leaving instance that is not listed any more and does not answer has left.
+        const bool has_left = instance.listed().draining && reason == disconnect_reason::timed_out;
+        if (reason == disconnect_reason::refused || has_left) {
             departed_.at(instance.listed().id).has_ended = true;
         }
     };
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -443,7 +443,7 @@
         time_point removed_at;
         /// It has accepted a connection since.
         bool has_answered = false;
-        /// Nothing listens at its address any more.
+        /// Nothing listens at its address any more, or it was leaving and does not answer.
         bool has_ended = false;
     };
     std::map<std::string, departed_instance> departed_;
--- a/gentianhill/proxy/failover_driver.cpp
+++ b/gentianhill/proxy/failover_driver.cpp
@@ -54,7 +54,8 @@
 
 void failover_driver::start_if_settled(primary_verdict verdict) {
     trusted_members_.clear();
-    if (group_.is_settled() && group_.knows_departures()) {
+    // A primary that leaves has to be replaced before it ends, and is told to step down.
+    if (group_.is_settled() && (group_.knows_departures() || verdict == primary_verdict::leaving)) {
         start(verdict);
         return;
     }
--- a/tests/failover/fenced_promotion_tests.cpp
+++ b/tests/failover/fenced_promotion_tests.cpp
@@ -425,6 +425,15 @@
     CHECK(calls == 0);
 }
 
+// Guards against a primary that leaves by plan and is not replaced in time, because a replica is silent that
+// is no longer listed.
+TEST_CASE_FIXTURE(departed_member_fixture,
+                  "fenced_promotion_primary_leaves_silent_departed_replica_is_passed_over") {
+    silent.insert("c");
+    run(primary_verdict::leaving);
+    CHECK(*end == fenced_promotion_outcome::promoted);
+}
+
 // Guards against a promotion that waits for an instance that has ended.
 TEST_CASE_FIXTURE(departed_member_fixture,
                   "fenced_promotion_departed_replica_that_has_ended_is_passed_over") {
--- a/tests/proxy/promotion_members_tests.cpp
+++ b/tests/proxy/promotion_members_tests.cpp
@@ -213,3 +213,24 @@
     write_for(5s);
     CHECK(deployment.service.violations().empty());
 }
+
+// Guards against a primary that leaves by plan and serves too long, because a replica has left before and its
+// host does not answer.
+TEST_CASE_FIXTURE(promotion_members_fixture,
+                  "promotion_members_primary_leaves_after_a_replica_is_replaced_at_once") {
+    SUBCASE("the replica has left by plan") {
+        deployment.list("i-3", true);
+        write_for(1s);
+    }
+    SUBCASE("the replica is out of reach") {}
+    for (std::size_t daemon : {0U, 1U}) {
+        deployment.cut(daemon, "i-3", true);
+    }
+    deployment.service.set_cut("i-1", "i-3", true);
+    deployment.unlist("i-3");
+    write_for(3s);
+    deployment.list("i-1", true);
+    write_for(4s);
+    CHECK(deployment.service.promotions() == 1);
+    CHECK(deployment.service.violations().empty());
+}
