proxy: departed instances have a class of their own

No change of behaviour is meant. The two tests of waiting promotions share their ending.

Ruled out: moving the age of the list there as well, since it is the proxy's and the same for all groups.

--- a/gentianhill/proxy/database_group.cpp
+++ b/gentianhill/proxy/database_group.cpp
@@ -90,6 +90,11 @@
     return team.empty() ? instance.open_more(1, team) : instance.can_open(team);
 }
 
+/// Identifies one run of an instance.
+std::string key_of(const listed_instance& listed) {
+    return listed.id + "@" + std::to_string(listed.started_at_ms);
+}
+
 /// Statements in flight beyond the instance's slots, to keep it busy while answers are in transit.
 constexpr std::size_t in_flight_reserve = 2;
 /// Cost added for an instance without a free connection; above any difference in latency.
@@ -145,12 +150,13 @@
       counters_(counters),
       settings_(settings),
       clock_(std::move(clock)),
+      departed_(network, log, clock_, settings.member_list_limit + settings.trust_window),
       trust_(settings.trust_window),
       failure_detector_(settings.failure_detector) {
     watching_since_ = now();
     failure_detector_.reset(false, now());
     settlement_.unsettle(now());
-    departures_known_since_ = now();
+    departed_.on_connection_attempt = [this] { counters_.connections_opened.add(); };
 }
 
 database_group::~database_group() {
@@ -221,7 +227,7 @@
     removed_.push_back(std::move(found->second));
     instances_.erase(found);
     removed_.back()->close_all();
-    add_departed(removed_.back()->listed());
+    departed_.add(removed_.back()->listed(), settings_.pool);
     open_polls_.erase(id);
     status_sent_at_.erase(id);
     unfenced_reports_.remove(id);
@@ -237,88 +243,42 @@
     check_lost_primary();
 }
 
-void database_group::add_departed(const listed_instance& listed) {
-    departed_instance& departed = departed_[listed.id];
-    departed.instance = std::make_unique<proxy_instance>(listed, network_, log_, settings_.pool, clock_);
-    departed.instance->on_failure = [this](proxy_instance& instance, disconnect_reason reason) {
-        // A leaving instance that is not listed any more and does not answer has left.
-        const bool has_left = instance.listed().draining && reason == disconnect_reason::timed_out;
-        if (reason == disconnect_reason::refused || has_left) {
-            departed_.at(instance.listed().id).has_ended = true;
-        }
-    };
-    departed.instance->on_connection_attempt = [this] { counters_.connections_opened.add(); };
-    departed.removed_at = now();
-}
-
 void database_group::on_departed_listed(const listed_instance& listed) {
-    const std::map<std::string, departed_instance>::const_iterator found = departed_.find(listed.id);
-    if (found == departed_.end()) {
-        return;
-    }
-    const bool has_restarted = found->second.instance->listed().started_at_ms != listed.started_at_ms;
-    forget_departed(listed.id);
-    if (has_restarted) {
+    const std::optional<listed_instance> before = departed_.remove(listed.id);
+    if (before && before->started_at_ms != listed.started_at_ms) {
         unsettle_by(listed.id);
     }
 }
 
-void database_group::forget_departed(const std::string& id) {
-    const std::map<std::string, departed_instance>::iterator found = departed_.find(id);
-    if (found == departed_.end()) {
-        return;
-    }
-    // Destroyed by the next tick, since one of its callbacks may be on the stack.
-    removed_.push_back(std::move(found->second.instance));
-    departed_.erase(found);
-    removed_.back()->on_failure = nullptr;
-    removed_.back()->close_all();
-}
-
-void database_group::resolve_departures(time_point current) {
-    std::vector<std::string> resolved;
-    for (std::map<std::string, departed_instance>::value_type& entry : departed_) {
-        departed_instance& departed = entry.second;
-        departed.instance->tick();
-        if (!departed.has_answered && is_watching()) {
-            departed.has_answered = departed.instance->control_connection() != nullptr;
-        }
-        if (departed.has_ended || current - departed.removed_at >= departure_limit()) {
-            resolved.push_back(entry.first);
-        }
-    }
-    for (const std::string& id : resolved) {
-        const bool has_ended = departed_.at(id).has_ended;
+void database_group::resolve_departures() {
+    for (const departed_instances::resolution& over : departed_.tick(is_watching())) {
         log_.write(log_level::info, "group", "departure_resolved",
-                   {{"group", name_}, {"instance", id}, {"ended", has_ended}});
-        if (!has_led(id)) {
-            settlement_.unsettle(current);
+                   {{"group", name_}, {"instance", over.id}, {"ended", over.has_ended}});
+        if (!has_led(over.id)) {
+            settlement_.unsettle(now());
         }
-        forget_departed(id);
     }
-    if (!departures_resolved_ && is_watching() &&
-        current - departures_known_since_ >= departure_check_delay) {
+    if (!departed_.are_known() && is_watching() && departed_.gap_age() >= departure_check_delay) {
         check_departures();
     }
 }
 
 proxy_instance* database_group::find_member(const std::string& id) {
-    const std::map<std::string, departed_instance>::iterator departed = departed_.find(id);
-    return departed == departed_.end() ? find(id) : departed->second.instance.get();
+    proxy_instance* departed = departed_.find(id);
+    return departed != nullptr ? departed : find(id);
 }
 
 std::vector<std::string> database_group::departed_ids() const {
     std::vector<std::string> ids;
-    for (const std::map<std::string, departed_instance>::value_type& entry : departed_) {
-        ids.push_back(entry.first);
+    for (const listed_instance& entry : departed_.entries()) {
+        ids.push_back(entry.id);
     }
     return ids;
 }
 
-std::vector<std::string> database_group::receiving_departed() const {
-    std::vector<std::string> ids = departed_ids();
-    std::erase_if(ids, [this](const std::string& id) { return has_led(id); });
-    return ids;
+bool database_group::has_receiving_departed() const {
+    const std::vector<std::string> ids = departed_ids();
+    return std::any_of(ids.begin(), ids.end(), [this](const std::string& id) { return !has_led(id); });
 }
 
 void database_group::unsettle_by(const std::string& id) {
@@ -1604,7 +1564,7 @@
 void database_group::use_replica_logs() {
     // A daemon may have confirmed a commit by an instance that has departed.
     if (!replica_logs_ || replica_logs_->replicas < min_replicas || limits_.sync_replicas == 0 ||
-        !settlement_.is_settled() || !receiving_departed().empty()) {
+        !settlement_.is_settled() || has_receiving_departed()) {
         replica_logs_.reset();
         return;
     }
@@ -1632,7 +1592,7 @@
 }
 
 bool database_group::knows_all(const std::vector<std::string>& recorded) const {
-    const std::vector<std::string> known = keys_with(departed_ids());
+    const std::vector<std::string> known = keys_with_departed(true);
     return std::all_of(recorded.begin(), recorded.end(), [&known](const std::string& key) {
         return std::find(known.begin(), known.end(), key) != known.end();
     });
@@ -1646,36 +1606,32 @@
     }
     checking_departures_ = true;
     departures_checked_at_ = current;
-    read_recorded_members([this, since = departures_known_since_, alive = std::weak_ptr<bool>(alive_)](
+    read_recorded_members([this, gap = departed_.gap_at(), alive = std::weak_ptr<bool>(alive_)](
                               const std::optional<std::vector<std::string>>& recorded) {
         if (alive.expired()) {
             return;
         }
         checking_departures_ = false;
-        if (since == departures_known_since_) {
-            on_departures_checked(recorded);
+        if (recorded) {
+            on_departures_checked(gap, *recorded);
         }
     });
 }
 
-void database_group::on_departures_checked(const std::optional<std::vector<std::string>>& recorded) {
-    if (!recorded) {
-        return;
-    }
-    const bool is_complete = knows_all(*recorded);
-    const bool is_over = now() - departures_known_since_ >= departure_limit();
-    log_.write(
-        log_level::info, "group", "departures_checked",
-        {{"group", name_}, {"recorded", recorded->size()}, {"complete", is_complete}, {"is_over", is_over}});
-    if (!is_complete && !is_over) {
-        return;
-    }
-    departures_resolved_ = true;
-    if (!is_complete) {
-        // An unknown instance may have taken the only copy of a commit with it until now.
+void database_group::on_departures_checked(time_point gap, const std::vector<std::string>& recorded) {
+    const bool is_complete = knows_all(recorded);
+    // An unknown instance may have taken the only copy of a commit with it until now.
+    if (departed_.on_record_read(gap, is_complete)) {
         settlement_.unsettle(now());
     }
-    use_replica_logs();
+    log_.write(log_level::info, "group", "departures_checked",
+               {{"group", name_},
+                {"recorded", recorded.size()},
+                {"complete", is_complete},
+                {"known", departed_.are_known()}});
+    if (departed_.are_known()) {
+        use_replica_logs();
+    }
 }
 
 void database_group::on_members_listed(time_point sent_at) {
@@ -1748,7 +1704,7 @@
 void database_group::tick() {
     removed_.clear();
     const time_point current = now();
-    resolve_departures(current);
+    resolve_departures();
     for (const std::map<std::string, std::unique_ptr<proxy_instance>>::value_type& entry : instances_) {
         entry.second->tick();
     }
@@ -1832,7 +1788,7 @@
 
 std::string database_group::member_key(const std::string& id) const {
     const std::map<std::string, std::unique_ptr<proxy_instance>>::const_iterator found = instances_.find(id);
-    return found == instances_.end() ? id : id + "@" + std::to_string(found->second->listed().started_at_ms);
+    return found == instances_.end() ? id : key_of(found->second->listed());
 }
 
 std::vector<std::string> database_group::member_keys() const {
@@ -1843,10 +1799,12 @@
     return keys;
 }
 
-std::vector<std::string> database_group::keys_with(const std::vector<std::string>& departed) const {
+std::vector<std::string> database_group::keys_with_departed(bool with_leader) const {
     std::vector<std::string> keys = member_keys();
-    for (const std::string& id : departed) {
-        keys.push_back(id + "@" + std::to_string(departed_.at(id).instance->listed().started_at_ms));
+    for (const listed_instance& entry : departed_.entries()) {
+        if (with_leader || !has_led(entry.id)) {
+            keys.push_back(key_of(entry));
+        }
     }
     std::sort(keys.begin(), keys.end());
     return keys;
--- a/gentianhill/proxy/database_group.h
+++ b/gentianhill/proxy/database_group.h
@@ -13,6 +13,7 @@
 #include "gentianhill/freshness/replica_log_poll.h"
 #include "gentianhill/freshness/unconfirmed_commits.h"
 #include "gentianhill/freshness/unfenced_replica_reports.h"
+#include "gentianhill/proxy/departed_instances.h"
 #include "gentianhill/proxy/placement.h"
 #include "gentianhill/proxy/proxy_instance.h"
 #include "gentianhill/proxy/statement_task.h"
@@ -138,12 +139,9 @@
     /// Removes an instance and closes its connections. Promotions go on fencing it until it has ended or no
     /// daemon can believe it any longer.
     void remove_instance(const std::string& id);
-    /// Records that changes of the list may have been missed before `moment`, so that an instance may have
-    /// joined and departed unseen.
-    void on_list_gap(time_point moment) {
-        departures_known_since_ = moment;
-        departures_resolved_ = false;
-    }
+    /// Records that changes of the list may have been missed before now, so that an instance may have joined
+    /// and departed unseen.
+    void on_list_gap() { departed_.on_list_gap(); }
     /// Applies the group's limits. Each instance's connections are divided among `proxies` proxies; 0 keeps
     /// the current share.
     void set_limits(const group_limits& limits, std::size_t proxies);
@@ -225,11 +223,11 @@
     /// departed.
     [[nodiscard]] bool is_settled_by_members() const {
         return settlement_.is_settled() && !settlement_.is_settled_without_primary() &&
-               receiving_departed().empty();
+               !has_receiving_departed();
     }
     /// True if the group is also settled for daemons that learn of its members later.
     [[nodiscard]] bool is_settled_for_others() const {
-        return is_settled_by_members() && departures_resolved_;
+        return is_settled_by_members() && departed_.are_known();
     }
     /// True if the primary is trusted now on evidence that was requested at or after `moment`.
     [[nodiscard]] bool is_trusted_since(time_point moment) const;
@@ -243,14 +241,14 @@
     /// Keys of all members, sorted by id.
     [[nodiscard]] std::vector<std::string> member_keys() const;
     /// The same with the departed instances that may still receive.
-    [[nodiscard]] std::vector<std::string> keys_to_record() const { return keys_with(receiving_departed()); }
+    [[nodiscard]] std::vector<std::string> keys_to_record() const { return keys_with_departed(false); }
     /// Departed instances that may live.
     [[nodiscard]] std::vector<std::string> departed_ids() const;
-    [[nodiscard]] bool is_departed(const std::string& id) const { return departed_.count(id) > 0; }
-    /// Those of them that may receive from the primary of the newest known term.
-    [[nodiscard]] std::vector<std::string> receiving_departed() const;
+    [[nodiscard]] bool is_departed(const std::string& id) const { return departed_.contains(id); }
+    /// True if one of them may receive from the primary of the newest known term.
+    [[nodiscard]] bool has_receiving_departed() const;
     /// True if no instance can have departed unseen that another daemon still believes.
-    [[nodiscard]] bool knows_departures() const { return departures_resolved_; }
+    [[nodiscard]] bool knows_departures() const { return departed_.are_known(); }
     /// True if each of the recorded members is listed or known to have departed.
     [[nodiscard]] bool knows_all(const std::vector<std::string>& recorded) const;
     /// Current primary or, when none is known, the only instance whose entry claims that role; empty
@@ -350,22 +348,16 @@
     /// True if the list of instances is current. Otherwise any one of them may have departed, and only the
     /// word of all replicas counts.
     [[nodiscard]] bool is_list_current() const;
-    /// Time for which a departed instance may be believed by a daemon whose list is older.
-    [[nodiscard]] duration departure_limit() const {
-        return settings_.member_list_limit + settings_.trust_window;
-    }
     /// Position of the present term that a witness has received, or all replicas if the list is not current.
     [[nodiscard]] log_position received_position() const;
-    /// Keeps a removed instance for the promotions.
-    void add_departed(const listed_instance& listed);
-    void forget_departed(const std::string& id);
     /// Called when a departed instance is listed again; it may have started again without its log.
     void on_departed_listed(const listed_instance& listed);
-    /// Keys of all members and of some departed instances, sorted.
-    [[nodiscard]] std::vector<std::string> keys_with(const std::vector<std::string>& departed) const;
+    /// Keys of all members and of the departed instances, sorted, with or without one that has led the newest
+    /// term.
+    [[nodiscard]] std::vector<std::string> keys_with_departed(bool with_leader) const;
     /// Finds out which departed instances have ended. Those, and the ones that no daemon believes any longer,
     /// may have taken the only copy of a commit with them until now, so the group is settled anew.
-    void resolve_departures(time_point current);
+    void resolve_departures();
     /// Time of the latest answer of any listed replica.
     [[nodiscard]] std::optional<time_point> last_replica_answer() const;
     /// True if a listed replica is believed to answer; it can confirm commits now, or once it is a witness.
@@ -405,7 +397,7 @@
     void use_replica_logs();
     /// Reads the recorded members to learn whether one has departed before this daemon listed the others.
     void check_departures();
-    void on_departures_checked(const std::optional<std::vector<std::string>>& recorded);
+    void on_departures_checked(time_point gap, const std::vector<std::string>& recorded);
     void poll_replicas();
     void poll_for_settlement(time_point current);
     void check_recovery(time_point current);
@@ -436,19 +428,7 @@
 
     std::map<std::string, std::unique_ptr<proxy_instance>> instances_;
     std::vector<std::unique_ptr<proxy_instance>> removed_;
-    /// Instance whose entry has lapsed. It may be cut from the store alone and still receive from the
-    /// primary.
-    struct departed_instance {
-        std::unique_ptr<proxy_instance> instance;
-        time_point removed_at;
-        /// It has accepted a connection since.
-        bool has_answered = false;
-        /// Nothing listens at its address any more, or it was leaving and does not answer.
-        bool has_ended = false;
-    };
-    std::map<std::string, departed_instance> departed_;
-    /// Time since which no change of the list was missed.
-    time_point departures_known_since_;
+    departed_instances departed_;
     time_point departures_checked_at_;
     std::string primary_id_;
     term_number term_ = 0;
@@ -468,8 +448,6 @@
     /// it expires, since obtaining it again is slow.
     bool trust_from_record_ = false;
     bool reading_record_ = false;
-    /// No instance that departed before `departures_known_since_` is believed by any daemon.
-    bool departures_resolved_ = false;
     bool checking_departures_ = false;
     /// The promotion record is being read to learn whether the former primary was the last one.
     bool checking_former_primary_ = false;
--- a/gentianhill/proxy/proxy.cpp
+++ b/gentianhill/proxy/proxy.cpp
@@ -587,11 +587,10 @@
             listed.push_back(std::move(*instance));
         }
     }
-    const time_point now = ports_.now();
-    catalog_.apply_list(listed, now);
+    catalog_.apply_list(listed, ports_.now());
     for (const std::map<std::string, std::unique_ptr<database_group>, std::less<>>::value_type& entry :
          groups_) {
-        entry.second->on_list_gap(now);
+        entry.second->on_list_gap();
     }
 }
 
--- a/tests/proxy/promotion_members_tests.cpp
+++ b/tests/proxy/promotion_members_tests.cpp
@@ -111,6 +111,15 @@
         cut_from_store(0, true);
         deployment.unlist("i-3");
     }
+    /// The second daemon settles the group by the primary, which then ends.
+    void check_primary_is_replaced_once_reached() {
+        deployment.cut(1, "i-1", false);
+        write_for(1s);
+        deployment.service.set_up("i-1", false);
+        write_for(failover_target);
+        CHECK(deployment.service.promotions() == 1);
+        CHECK(deployment.service.violations().empty());
+    }
     void cut_second_daemon_from_primary() {
         write_for(settlement_time);
         deployment.cut(1, "i-1", true);
@@ -137,12 +146,7 @@
     cut_second_daemon_from_primary();
     write_for(3s + departure_time);
     CHECK(deployment.service.promotions() == 0);
-    deployment.cut(1, "i-1", false);
-    write_for(1s);
-    deployment.service.set_up("i-1", false);
-    write_for(failover_target);
-    CHECK(deployment.service.promotions() == 1);
-    CHECK(deployment.service.violations().empty());
+    check_primary_is_replaced_once_reached();
 }
 
 // The same for a daemon that has started since, and knows of the lapsed replica by the record of members
@@ -157,12 +161,7 @@
     deployment.cut(1, "i-1", true);
     write_for(3s + departure_time);
     CHECK(deployment.service.promotions() == 0);
-    deployment.cut(1, "i-1", false);
-    write_for(1s);
-    deployment.service.set_up("i-1", false);
-    write_for(failover_target);
-    CHECK(deployment.service.promotions() == 1);
-    CHECK(deployment.service.violations().empty());
+    check_primary_is_replaced_once_reached();
 }
 
 // Guards against a failover that waits for a replica that has ended.
