failover: silent departed instances do not keep stale fences in place

If a holder of the duty was lost after its fences and a replica departed silently, the fences stayed for up to 7.6 s more, in which nothing is committed if all replicas are fenced.

Cause: a promotion that only releases fences asked the departed instances as well, and ended when one did not answer. Next to it: a leaving instance that had answered after its departure and then fell silent counted as ended at once, although it had just been alive.

Ruled out: that a release needs their answers; it only unfences instances that answer.

Change: a release of fences passes over silent departed instances. A leaving one counts as ended only if it has never answered since.

--- a/gentianhill/failover/fenced_promotion.cpp
+++ b/gentianhill/failover/fenced_promotion.cpp
@@ -416,8 +416,11 @@
     if (replica.id == claimant_) {
         return true;
     }
-    // A primary that leaves is in reach, and is told to step down before another instance is promoted.
-    if (replica.departed && (hooks_.has_ended(replica.id) || verdict_ == primary_verdict::leaving)) {
+    // A primary that leaves is in reach, and is told to step down before another instance is promoted. Where
+    // fences are only released, nothing depends on one that does not answer.
+    const bool may_be_silent =
+        verdict_ == primary_verdict::leaving || verdict_ == primary_verdict::replicas_fenced;
+    if (replica.departed && (may_be_silent || hooks_.has_ended(replica.id))) {
         return true;
     }
     // A fenced replica receives nothing, so its log has not grown since. One that leaves does not start again
--- a/gentianhill/proxy/departed_instances.cpp
+++ b/gentianhill/proxy/departed_instances.cpp
@@ -12,11 +12,11 @@
     departed& added = instances_[listed.id];
     added.instance = std::make_unique<proxy_instance>(listed, network_, log_, pool, clock_);
     added.instance->on_failure = [this](proxy_instance& instance, disconnect_reason reason) {
-        // A leaving instance that is not listed any more and does not answer has left.
-        const bool has_left = instance.listed().draining && reason == disconnect_reason::timed_out;
-        if (reason == disconnect_reason::refused || has_left) {
-            instances_.at(instance.listed().id).has_ended = true;
-        }
+        departed& failed = instances_.at(instance.listed().id);
+        // A leaving instance that is not listed any more and has never answered since has left.
+        const bool has_left =
+            instance.listed().draining && !failed.has_answered && reason == disconnect_reason::timed_out;
+        failed.has_ended = failed.has_ended || has_left || reason == disconnect_reason::refused;
     };
     added.instance->on_connection_attempt = [this] {
         if (on_connection_attempt) {
--- a/tests/failover/fenced_promotion_tests.cpp
+++ b/tests/failover/fenced_promotion_tests.cpp
@@ -486,3 +486,14 @@
     CHECK(*end == fenced_promotion_outcome::promoted);
     CHECK(fenced == std::vector<std::string>{"a", "b"});
 }
+
+// Guards against replicas that stay fenced, so that nothing is committed, because an instance is silent that
+// is no longer listed.
+TEST_CASE_FIXTURE(departed_member_fixture,
+                  "fenced_promotion_silent_departed_replica_delays_no_release_of_fences") {
+    silent.insert("c");
+    statuses["b"].fenced_term = 5;
+    run(primary_verdict::replicas_fenced);
+    CHECK(*end == fenced_promotion_outcome::fences_released);
+    CHECK(unfenced == std::vector<std::string>{"b"});
+}
--- a/tests/proxy/promotion_members_tests.cpp
+++ b/tests/proxy/promotion_members_tests.cpp
@@ -233,3 +233,24 @@
     CHECK(deployment.service.promotions() == 1);
     CHECK(deployment.service.violations().empty());
 }
+
+// Guards against a daemon that was suspended and believes, on its old list, a replica that has departed
+// meanwhile.
+TEST_CASE_FIXTURE(promotion_members_fixture,
+                  "promotion_members_daemon_that_was_suspended_needs_all_replicas") {
+    const std::string host = simulated_deployment::host_name(0);
+    deployment.clock.freeze(host);
+    deployment.run_for(9s);
+    cut_from_store(0, true);
+    deployment.service.set_cut("i-1", "i-2", true);
+    deployment.clock.wake(host);
+    // Answers of before arrive now.
+    write_for(100ms);
+    const std::size_t before = confirmed;
+    write_for(3s);
+    CHECK(confirmed == before);
+    deployment.service.set_cut("i-1", "i-2", false);
+    write_for(2s);
+    CHECK(confirmed > before);
+    CHECK(deployment.service.violations().empty());
+}
